Agree the shared types of the fleet

Cause: routing, decisions, fleet and shells are to be built side by side and need one wire form, one configuration form and one set of outcomes. Before: an empty repository.

--- /dev/null
+++ b/check.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Formatter, linters, build and all tests with fixed seeds. Tests named in
+# KNOWN-RED.txt are passed over and printed.
+set -eu
+cd "$(dirname "$0")"
+
+unformatted=$(go tool gofumpt -l cmd internal)
+if [ -n "$unformatted" ]; then
+  printf 'not formatted by gofumpt:\n%s\n' "$unformatted"
+  exit 1
+fi
+go build ./...
+go vet ./...
+go tool staticcheck ./...
+
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  names=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+  if [ -n "$names" ]; then
+    printf 'passed over, see KNOWN-RED.txt: %s\n' "$names"
+    skip=(-skip "^($names)\$")
+  fi
+fi
+go test -count=1 -timeout 20m "${skip[@]}" ./...
--- /dev/null
+++ b/internal/config/decode.go
@@ -0,0 +1,177 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/go-json-experiment/json"
+	"github.com/go-playground/validator/v10"
+)
+
+// FieldError is one fault in a document.
+type FieldError struct {
+	Path   string // path of the field, for example services[0].targets.freshShare
+	Reason string
+}
+
+// Error implements error.
+func (e FieldError) Error() string {
+	if e.Path == "" {
+		return e.Reason
+	}
+	return e.Path + ": " + e.Reason
+}
+
+// InvalidError lists all faults found in a document.
+type InvalidError struct {
+	Fields []FieldError
+}
+
+// Error implements error, one fault a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Fields))
+	for i, f := range e.Fields {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+var objectName = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]*$`)
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	v.RegisterCustomTypeFunc(addrPortValue, netip.AddrPort{})
+	mustRegister(v, "objectname", func(fl validator.FieldLevel) bool {
+		return objectName.MatchString(fl.Field().String())
+	})
+	mustRegister(v, "hostport", func(fl validator.FieldLevel) bool {
+		a, err := netip.ParseAddrPort(fl.Field().String())
+		return err == nil && a.Port() != 0
+	})
+	mustRegister(v, "hostport4", func(fl validator.FieldLevel) bool {
+		a, err := netip.ParseAddrPort(fl.Field().String())
+		return err == nil && a.Port() != 0 && a.Addr().Is4()
+	})
+	return v
+}
+
+func mustRegister(v *validator.Validate, tag string, fn validator.Func) {
+	if err := v.RegisterValidation(tag, fn); err != nil {
+		panic(err)
+	}
+}
+
+func addrPortValue(f reflect.Value) any {
+	a, ok := f.Interface().(netip.AddrPort)
+	if !ok || !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	if name == "-" || name == "" {
+		return f.Name
+	}
+	return name
+}
+
+// Decode reads one JSON document into v, refuses unknown members and checks
+// the result. All faults are reported as *InvalidError.
+func Decode(data []byte, v any) error {
+	if err := json.Unmarshal(data, v, json.RejectUnknownMembers(true)); err != nil {
+		return &InvalidError{Fields: []FieldError{decodeFault(err)}}
+	}
+	return Check(v)
+}
+
+// Encode writes v as JSON.
+func Encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v, json.Deterministic(true))
+	return b, errors.Wrap(err, "encode")
+}
+
+func decodeFault(err error) FieldError {
+	var semantic *json.SemanticError
+	if !errors.As(err, &semantic) {
+		return FieldError{Reason: err.Error()}
+	}
+	path := pointerPath(string(semantic.JSONPointer))
+	if errors.Is(semantic.Err, json.ErrUnknownName) {
+		return FieldError{Path: path, Reason: "unknown key"}
+	}
+	reason := fmt.Sprintf("cannot read %s as %s", semantic.JSONKind, semantic.GoType)
+	if semantic.Err != nil {
+		reason = semantic.Err.Error()
+	}
+	return FieldError{Path: path, Reason: reason}
+}
+
+// pointerPath turns a JSON pointer such as /services/0/name into
+// services[0].name.
+func pointerPath(pointer string) string {
+	var b strings.Builder
+	for _, part := range strings.Split(strings.TrimPrefix(pointer, "/"), "/") {
+		if part != "" && strings.Trim(part, "0123456789") == "" {
+			b.WriteString("[" + part + "]")
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(part)
+	}
+	return b.String()
+}
+
+// Check validates v against its tags.
+func Check(v any) error {
+	err := validate.Struct(v)
+	if err == nil {
+		return nil
+	}
+	var faults validator.ValidationErrors
+	if !errors.As(err, &faults) {
+		return errors.Wrap(err, "check")
+	}
+	out := &InvalidError{}
+	for _, f := range faults {
+		out.Fields = append(out.Fields, FieldError{Path: fieldPath(f), Reason: describe(f)})
+	}
+	return out
+}
+
+func fieldPath(f validator.FieldError) string {
+	_, path, found := strings.Cut(f.Namespace(), ".")
+	if !found {
+		return f.Field()
+	}
+	return path
+}
+
+func describe(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required", "required_without":
+		return "is required"
+	case "hostport":
+		return "must be an IP address and port, for example 127.0.0.1:7443"
+	case "hostport4":
+		return "must be an IPv4 address and port, for example 127.0.0.1:7443"
+	case "objectname":
+		return "must be lower-case letters, digits, dots and dashes"
+	case "unique":
+		return "must not repeat " + strings.ToLower(f.Param())
+	}
+	if f.Param() == "" {
+		return "must be " + f.Tag()
+	}
+	return fmt.Sprintf("must satisfy %s %s", f.Tag(), f.Param())
+}
--- /dev/null
+++ b/internal/config/object.go
@@ -0,0 +1,192 @@
+package config
+
+import (
+	"cmp"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/keyring"
+)
+
+// Object is one object of the platform's store as the fleet passes it on.
+// Objects are merged by (Kind, Name): the higher Revision wins. A deletion is
+// an object with Deleted set, at a higher revision.
+type Object struct {
+	Kind     string `json:"kind" cbor:"1,keyasint"`
+	Name     string `json:"name" cbor:"2,keyasint"`
+	Revision uint64 `json:"revision" cbor:"3,keyasint"` // store-wide, rises with every write
+	Deleted  bool   `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
+	Value    []byte `json:"value,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// ID identifies an object over its revisions.
+type ID struct{ Kind, Name string }
+
+// ID returns the object's identity.
+func (o *Object) ID() ID { return ID{Kind: o.Kind, Name: o.Name} }
+
+// Problem is an object that could not be adopted.
+type Problem struct {
+	ID       ID
+	Revision uint64
+	Err      error
+}
+
+// Fleet is the configuration in force in one process. It is immutable.
+type Fleet struct {
+	Revision  uint64 // highest revision among the objects
+	Services  map[uint16]*Service
+	ByAddress map[netip.AddrPort]*Service
+	Zones     map[uint8]*Zone
+	ByZone    map[string]*Zone
+	Keys      *keyring.Ring // nil until a key object is known
+}
+
+// Empty returns a configuration without objects.
+func Empty() *Fleet {
+	return &Fleet{
+		Services:  map[uint16]*Service{},
+		ByAddress: map[netip.AddrPort]*Service{},
+		Zones:     map[uint8]*Zone{},
+		ByZone:    map[string]*Zone{},
+	}
+}
+
+// ZoneOut reports whether operators took the zone out.
+func (f *Fleet) ZoneOut(id uint8) bool {
+	z := f.Zones[id]
+	return z != nil && z.Out
+}
+
+// Region returns the region of the zone, empty when the zone is unknown.
+func (f *Fleet) Region(id uint8) string {
+	z := f.Zones[id]
+	if z == nil {
+		return ""
+	}
+	return z.Region
+}
+
+// Build makes the configuration from a set of objects. Where two objects claim
+// the same ID or address, the one with the lower revision keeps it, so that
+// every process decides alike whatever the order of arrival.
+func Build(objects []Object) (*Fleet, []Problem) {
+	b := builder{fleet: Empty()}
+	sorted := slices.Clone(objects)
+	slices.SortFunc(sorted, func(x, y Object) int {
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Name, y.Name))
+	})
+	for i := range sorted {
+		b.add(&sorted[i])
+	}
+	return b.fleet, b.problems
+}
+
+type builder struct {
+	fleet    *Fleet
+	problems []Problem
+}
+
+func (b *builder) add(o *Object) {
+	b.fleet.Revision = max(b.fleet.Revision, o.Revision)
+	if o.Deleted {
+		return
+	}
+	if err := b.adopt(o); err != nil {
+		b.problems = append(b.problems, Problem{ID: o.ID(), Revision: o.Revision, Err: err})
+	}
+}
+
+func (b *builder) adopt(o *Object) error {
+	v, err := Parse(o)
+	if err != nil {
+		return err
+	}
+	switch v := v.(type) {
+	case *Service:
+		return b.addService(v)
+	case *Zone:
+		return b.addZone(v)
+	case *keyring.Ring:
+		b.fleet.Keys = v
+	}
+	return nil
+}
+
+func (b *builder) addService(s *Service) error {
+	if other := b.fleet.Services[s.ID]; other != nil {
+		return FieldError{Path: "id", Reason: fmt.Sprintf("%d belongs to service %s", s.ID, other.Name)}
+	}
+	for i, a := range s.Addresses {
+		if other := b.fleet.ByAddress[a]; other != nil {
+			path := fmt.Sprintf("addresses[%d]", i)
+			return FieldError{Path: path, Reason: fmt.Sprintf("%s belongs to service %s", a, other.Name)}
+		}
+	}
+	b.fleet.Services[s.ID] = s
+	for _, a := range s.Addresses {
+		b.fleet.ByAddress[a] = s
+	}
+	return nil
+}
+
+func (b *builder) addZone(z *Zone) error {
+	if other := b.fleet.Zones[z.ID]; other != nil {
+		return FieldError{Path: "id", Reason: fmt.Sprintf("%d belongs to zone %s", z.ID, other.Name)}
+	}
+	b.fleet.Zones[z.ID] = z
+	b.fleet.ByZone[z.Name] = z
+	return nil
+}
+
+// Parse returns the checked value of an object: *Service, *Zone or
+// *keyring.Ring. Other kinds give nil.
+func Parse(o *Object) (any, error) {
+	switch o.Kind {
+	case KindService:
+		s := &Service{}
+		return parseNamed(o, s, func() string { return s.Name })
+	case KindZone:
+		z := &Zone{}
+		return parseNamed(o, z, func() string { return z.Name })
+	case KindKeys:
+		k := &Keys{}
+		if err := Decode(o.Value, k); err != nil {
+			return nil, err
+		}
+		return k.Ring()
+	}
+	return nil, nil
+}
+
+func parseNamed[T any](o *Object, v *T, name func() string) (any, error) {
+	if err := Decode(o.Value, v); err != nil {
+		return nil, err
+	}
+	if name() != o.Name {
+		return nil, FieldError{Path: "name", Reason: fmt.Sprintf("must be %q, the name of the object", o.Name)}
+	}
+	return v, nil
+}
+
+// Ring derives the keys.
+func (k *Keys) Ring() (*keyring.Ring, error) {
+	generations := make([]keyring.Generation, len(k.Generations))
+	for i, g := range k.Generations {
+		generations[i].ID = g.ID
+		raw, err := hex.DecodeString(g.Secret)
+		if err != nil || len(raw) != keyring.SecretSize {
+			return nil, FieldError{Path: fmt.Sprintf("generations[%d].secret", i), Reason: "must be 32 bytes in hexadecimal"}
+		}
+		copy(generations[i].Secret[:], raw)
+	}
+	ring, err := keyring.New(generations, k.Signing)
+	if errors.Is(err, keyring.ErrNoSigningKey) {
+		return nil, FieldError{Path: "signing", Reason: "must name a generation"}
+	}
+	return ring, err
+}
--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,65 @@
+// Package membership keeps what is known of the fleet's processes and merges
+// what others say of them. It does no I/O and starts no goroutine.
+package membership
+
+import "net/netip"
+
+// Role tells what a process does.
+type Role uint8
+
+// Roles of members.
+const (
+	RoleEntry Role = 1
+	RoleAgent Role = 2
+)
+
+// State is the condition of a member.
+type State uint8
+
+// States of members, in the order in which a tie is resolved: the higher
+// state wins between records of the same incarnation and version.
+const (
+	StateReady    State = 1
+	StateCold     State = 2 // agent: its upstream is in cold start
+	StateDraining State = 3 // no new flows and no new work
+	StateSuspect  State = 4 // a watcher gets no answer; may be refuted
+	StateLeft     State = 5 // stopped by itself; final for the incarnation
+	StateDead     State = 6 // declared by watchers; final for the incarnation
+)
+
+// Record describes one process. The process itself is its only writer, but for
+// StateSuspect and StateDead, which its watchers set. A record is identified
+// by its data address.
+type Record struct {
+	Addr        netip.AddrPort `cbor:"1,keyasint"` // IPv4 data address, UDP
+	Control     netip.AddrPort `cbor:"2,keyasint"` // UDP membership and TCP jsonrpc2
+	Relay       netip.AddrPort `cbor:"3,keyasint"` // agent: TCP relay address
+	Role        Role           `cbor:"4,keyasint"`
+	Service     uint16         `cbor:"5,keyasint"` // agent only
+	Zone        uint8          `cbor:"6,keyasint"`
+	State       State          `cbor:"7,keyasint"`
+	Incarnation uint64         `cbor:"8,keyasint"` // start time, Unix milliseconds; raised to return from StateDead
+	Version     uint32         `cbor:"9,keyasint"`
+	Slots       uint16         `cbor:"10,keyasint"` // agent: requests its upstream runs at once
+	Connections uint32         `cbor:"11,keyasint"` // agent: flows that its upstream bears
+}
+
+// Supersedes reports whether r replaces old, a record of the same address.
+func (r *Record) Supersedes(old *Record) bool {
+	if r.Incarnation != old.Incarnation {
+		return r.Incarnation > old.Incarnation
+	}
+	if old.State.Final() {
+		return false
+	}
+	if r.State.Final() {
+		return true
+	}
+	if r.Version != old.Version {
+		return r.Version > old.Version
+	}
+	return r.State > old.State
+}
+
+// Final reports whether the state ends its incarnation.
+func (s State) Final() bool { return s == StateLeft || s == StateDead }
--- /dev/null
+++ b/internal/telemetry/server.go
@@ -0,0 +1,67 @@
+// Package telemetry serves a process's metrics and health over HTTP and sets
+// up its log.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Namespace prefixes all metrics.
+const Namespace = "crocus"
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	closeTimeout      = time.Second
+)
+
+// Health reports whether the process can do its work; the text says why not.
+type Health func() (ok bool, reason string)
+
+// NewRegistry returns a registry with the process's own metrics.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector())
+	r.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// NewLogger returns a logger of JSON lines with the process's role and name.
+func NewLogger(w io.Writer, role, name string) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, nil)).With("role", role, "process", name)
+}
+
+// Serve answers /metrics and /healthz on the listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, r *prometheus.Registry, health Health) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		ok, reason := health()
+		if !ok {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		_ = server.Shutdown(c)
+	})
+	defer stop()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve metrics")
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,66 @@
+package wire
+
+import "crocusnotch/internal/explain"
+
+// Methods of the jsonrpc2 service that every entry and agent serves on its
+// control address over mutual TLS.
+const (
+	MethodStatus   = "fleet.status"   // no parameters, returns Status
+	MethodExplain  = "fleet.explain"  // ExplainParams, returns ExplainResult
+	MethodSnapshot = "fleet.snapshot" // SnapshotParams, returns SnapshotResult
+)
+
+// Status is what a process says of itself.
+type Status struct {
+	Process         string            `json:"process"` // data address
+	Role            string            `json:"role"`    // "entry" or "agent"
+	Zone            string            `json:"zone"`
+	State           string            `json:"state"`
+	Incarnation     uint64            `json:"incarnation"`
+	ConfigRevision  uint64            `json:"configRevision"`
+	ConfigProblems  []string          `json:"configProblems,omitempty"`
+	SigningKey      uint8             `json:"signingKey"`
+	Members         int               `json:"members"`
+	StoreReachable  bool              `json:"storeReachable"`
+	Agent           *AgentStatus      `json:"agent,omitempty"`
+	ControlBytesIn  uint64            `json:"controlBytesIn"`
+	ControlBytesOut uint64            `json:"controlBytesOut"`
+	Peers           []MemberStatus    `json:"peers,omitempty"`
+	Counters        map[string]uint64 `json:"counters,omitempty"`
+}
+
+// MemberStatus is one member as the answering process sees it.
+type MemberStatus struct {
+	Process     string `json:"process"`
+	Control     string `json:"control"`
+	Role        string `json:"role"`
+	Zone        string `json:"zone"`
+	Service     string `json:"service,omitempty"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// AgentStatus is the part of Status that only agents have. The counts of flows
+// and streams are what a forced stop would cut.
+type AgentStatus struct {
+	Service     string         `json:"service"`
+	Upstream    string         `json:"upstream"`
+	Slots       int            `json:"slots"`
+	Limit       int            `json:"limit"` // concurrency allowed now
+	Busy        int            `json:"busy"`
+	Queued      int            `json:"queued"`
+	Flows       int            `json:"flows"`
+	LongStreams int            `json:"longStreams"`
+	FlowsByKey  map[string]int `json:"flowsByKey,omitempty"` // key generation to flows
+}
+
+// ExplainParams selects events by the name of their subject; empty selects
+// all.
+type ExplainParams struct {
+	Name string `json:"name"`
+}
+
+// ExplainResult is the answer to MethodExplain, oldest event first.
+type ExplainResult struct {
+	Events []explain.Event `json:"events"`
+}
--- /dev/null
+++ b/internal/wire/datagram.go
@@ -0,0 +1,146 @@
+// Package wire defines the messages between the processes of the system:
+// datagram headers, jsonrpc2 methods and the TLS material that protects them.
+package wire
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"crocusnotch/internal/keyring"
+)
+
+// HeaderSize is the length of a datagram header in bytes. The payload, one
+// QUIC packet or a control body, follows it.
+const HeaderSize = 62
+
+const headerMagic = 0xC7
+
+// MaxHandoffs bounds how often agents hand one datagram on.
+const MaxHandoffs = 2
+
+// Kind tells what a datagram carries.
+type Kind uint8
+
+// Kinds of datagrams.
+const (
+	KindToAgent  Kind = 1 // entry to agent, or agent to agent when handed on
+	KindToCaller Kind = 2 // agent to entry
+	KindLoad     Kind = 3 // agent to peer agent: load report
+	KindControl  Kind = 4 // membership message
+)
+
+// Offsets in a datagram header, in bytes.
+const (
+	offMagic       = 0
+	offKind        = 1
+	offGeneration  = 2
+	offHops        = 3
+	offService     = 4
+	offCaller      = 6
+	offDestination = 24
+	offEntry       = 42
+	offSecond      = 48
+	offMAC         = 54
+	ipSize         = 16
+	ip4Size        = 4
+)
+
+// Header precedes every datagram between entries and agents.
+type Header struct {
+	Kind        Kind
+	Hops        uint8 // times the datagram was handed on between agents
+	Service     uint16
+	Caller      netip.AddrPort
+	Destination netip.AddrPort // the service address that the caller used
+	Entry       netip.AddrPort // IPv4 data address of the entry for answers
+	Second      netip.AddrPort // IPv4 data address of candidate 2; zero when the flow has an owner
+}
+
+// HeaderVerdict is the outcome of reading a header.
+type HeaderVerdict uint8
+
+// Outcomes of ParseHeader.
+const (
+	HeaderValid HeaderVerdict = iota
+	HeaderTooShort
+	HeaderMalformed
+	HeaderUnknownKey
+	HeaderBadMAC
+)
+
+// PutHeader writes the signed header into dst[:HeaderSize]. The MAC covers the
+// header, not the payload, which QUIC protects. It does not allocate.
+func PutHeader(dst []byte, ring *keyring.Ring, h *Header) {
+	_ = dst[HeaderSize-1]
+	dst[offMagic] = headerMagic
+	dst[offKind] = byte(h.Kind)
+	dst[offGeneration] = ring.Signing()
+	dst[offHops] = h.Hops
+	binary.BigEndian.PutUint16(dst[offService:], h.Service)
+	putAddrPort(dst[offCaller:], h.Caller)
+	putAddrPort(dst[offDestination:], h.Destination)
+	putAddrPort4(dst[offEntry:], h.Entry)
+	putAddrPort4(dst[offSecond:], h.Second)
+	sum, _ := ring.MAC(ring.Signing(), keyring.PurposeDatagram, dst[:offMAC])
+	binary.BigEndian.PutUint64(dst[offMAC:], sum)
+}
+
+// ParseHeader reads and verifies the header at the start of b. It does not
+// allocate.
+func ParseHeader(ring *keyring.Ring, b []byte) (Header, HeaderVerdict) {
+	if len(b) < HeaderSize {
+		return Header{}, HeaderTooShort
+	}
+	if b[offMagic] != headerMagic {
+		return Header{}, HeaderMalformed
+	}
+	sum, ok := ring.MAC(b[offGeneration], keyring.PurposeDatagram, b[:offMAC])
+	if !ok {
+		return Header{}, HeaderUnknownKey
+	}
+	if sum != binary.BigEndian.Uint64(b[offMAC:]) {
+		return Header{}, HeaderBadMAC
+	}
+	return Header{
+		Kind:        Kind(b[offKind]),
+		Hops:        b[offHops],
+		Service:     binary.BigEndian.Uint16(b[offService:]),
+		Caller:      addrPort(b[offCaller:]),
+		Destination: addrPort(b[offDestination:]),
+		Entry:       addrPort4(b[offEntry:]),
+		Second:      addrPort4(b[offSecond:]),
+	}, HeaderValid
+}
+
+func putAddrPort(b []byte, a netip.AddrPort) {
+	if a.IsValid() {
+		ip := a.Addr().As16()
+		copy(b, ip[:])
+	} else {
+		clear(b[:ipSize])
+	}
+	binary.BigEndian.PutUint16(b[ipSize:], a.Port())
+}
+
+func addrPort(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([ipSize]byte(b[:ipSize])).Unmap()
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[ipSize:]))
+}
+
+func putAddrPort4(b []byte, a netip.AddrPort) {
+	if a.IsValid() {
+		ip := a.Addr().As4()
+		copy(b, ip[:])
+	} else {
+		clear(b[:ip4Size])
+	}
+	binary.BigEndian.PutUint16(b[ip4Size:], a.Port())
+}
+
+func addrPort4(b []byte) netip.AddrPort {
+	port := binary.BigEndian.Uint16(b[ip4Size:])
+	if port == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([ip4Size]byte(b[:ip4Size])), port)
+}
