Add the client of the platform's object API

Cause: configuration, keys and rosters live in the platform's store, which can be out, slow, over its rate, or lose an answer after a write took effect. Ways weighed: repeat a write blindly (may undo another operator's), or read back and repeat only while the expected revision stands (taken). Before: no client.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,212 @@
+// Package platform is the client of the platform's object API, which holds
+// the fleet's configuration, keys and rosters.
+//
+// Queries read and may be repeated freely. Commands are conditional on the
+// revision that the caller has seen, so that repeating one cannot undo the
+// write of another.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+
+	"crocusnotch/internal/config"
+)
+
+// MaxValueSize is the largest value of an object in bytes.
+const MaxValueSize = 1 << 20
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	defaultAttempts    = 4
+	defaultBackoffMin  = 50 * time.Millisecond
+	defaultBackoffMax  = 2 * time.Second
+	defaultCallsPerSec = 5
+	defaultBurst       = 50
+	maxResponseSize    = 64 << 20
+	drainLimit         = 4 << 10
+	decimal            = 10
+
+	headerIfMatch     = "If-Match"
+	headerIfNoneMatch = "If-None-Match"
+	contentTypeJSON   = "application/json"
+	objectsPath       = "/v1/objects/"
+	watchPath         = "/v1/watch"
+)
+
+// Options adjust a client. Zero values select the defaults.
+type Options struct {
+	HTTP        *http.Client
+	CallTimeout time.Duration // bound of one call, without a watch's waiting
+	Attempts    int           // tries of one query or command
+	BackoffMin  time.Duration // first pause between tries
+	BackoffMax  time.Duration
+	CallsPerSec float64 // budget of calls to the store
+	Burst       int
+	Registry    prometheus.Registerer
+	Jitter      func(time.Duration) time.Duration // shortens a pause at random
+}
+
+// Client talks to the object API. It is safe for concurrent use.
+type Client struct {
+	base    string
+	opts    Options
+	budget  *rate.Limiter
+	metrics *metrics
+}
+
+// New returns a client of the object API at the base URL.
+func New(base string, o Options) *Client {
+	o = o.withDefaults()
+	return &Client{
+		base:    strings.TrimRight(base, "/"),
+		opts:    o,
+		budget:  rate.NewLimiter(rate.Limit(o.CallsPerSec), o.Burst),
+		metrics: newMetrics(o.Registry),
+	}
+}
+
+func (o Options) withDefaults() Options {
+	if o.HTTP == nil {
+		o.HTTP = &http.Client{}
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
+	if o.Attempts == 0 {
+		o.Attempts = defaultAttempts
+	}
+	if o.BackoffMin == 0 {
+		o.BackoffMin = defaultBackoffMin
+	}
+	if o.BackoffMax == 0 {
+		o.BackoffMax = defaultBackoffMax
+	}
+	if o.CallsPerSec == 0 {
+		o.CallsPerSec = defaultCallsPerSec
+	}
+	if o.Burst == 0 {
+		o.Burst = defaultBurst
+	}
+	if o.Jitter == nil {
+		o.Jitter = fullJitter
+	}
+	return o
+}
+
+func fullJitter(d time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(d) + 1))
+}
+
+// call is one exchange with the store.
+type call struct {
+	name    string // label of the metrics
+	method  string
+	path    string
+	query   url.Values
+	header  http.Header
+	body    []byte
+	timeout time.Duration
+}
+
+// response is what the store answered.
+type response struct {
+	status int
+	body   []byte
+}
+
+// retryable reports whether another try may be answered.
+func (r response) retryable() bool {
+	return r.status == http.StatusTooManyRequests || r.status >= http.StatusInternalServerError
+}
+
+// roundTrip makes one call without a retry. The error is nil for every answer
+// that came whole, whatever its status.
+func (c *Client) roundTrip(ctx context.Context, k call) (response, error) {
+	if err := c.budget.Wait(ctx); err != nil {
+		return response{}, errors.Wrap(err, "wait for call budget")
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	defer cancel()
+	req, err := c.request(ctx, k)
+	if err != nil {
+		return response{}, err
+	}
+	res, err := c.opts.HTTP.Do(req)
+	if err != nil {
+		c.metrics.call(k.name, "lost")
+		return response{}, errors.Wrap(err, "call store")
+	}
+	defer closeBody(res.Body)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseSize))
+	if err != nil {
+		c.metrics.call(k.name, "lost")
+		return response{}, errors.Wrap(err, "read store answer")
+	}
+	c.metrics.call(k.name, strconv.Itoa(res.StatusCode))
+	return response{status: res.StatusCode, body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
+	target := c.base + k.path
+	if len(k.query) > 0 {
+		target += "?" + k.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, k.method, target, bytes.NewReader(k.body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	for name, values := range k.header {
+		req.Header[name] = values
+	}
+	return req, nil
+}
+
+// closeBody reads what is left, so that the connection can be used again.
+func closeBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, drainLimit)
+	_ = body.Close()
+}
+
+// pause waits before another try; the error is that of ctx.
+func (c *Client) pause(ctx context.Context, attempt int, name, reason string) error {
+	c.metrics.retry(name, reason)
+	timer := time.NewTimer(c.backoff(attempt))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Client) backoff(attempt int) time.Duration {
+	d := c.opts.BackoffMin << attempt
+	if d > c.opts.BackoffMax || d <= 0 {
+		d = c.opts.BackoffMax
+	}
+	return c.opts.Jitter(d)
+}
+
+func objectPath(id config.ID) string {
+	return objectsPath + url.PathEscape(id.Kind) + "/" + url.PathEscape(id.Name)
+}
+
+func retryReason(res response, err error) string {
+	if err != nil {
+		return "lost"
+	}
+	return strconv.Itoa(res.status)
+}
