Name the field in every fault of a configuration document

Cause: tests of the decoder showed three faults: encoding always failed (Wrap of a nil error is not nil in go-faster/errors), fields of the shared settings were reported as Process.control, and syntax faults had no path. Conclusion: wrap only after a nil check.

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/go-playground/validator/v10"
 )
 
@@ -76,7 +77,14 @@
 	return a.String()
 }
 
+// inlineName stands in validator paths for an embedded struct, whose fields
+// have no path element of their own in JSON.
+const inlineName = "~"
+
 func jsonName(f reflect.StructField) string {
+	if f.Anonymous {
+		return inlineName
+	}
 	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 	if name == "-" || name == "" {
 		return f.Name
@@ -96,10 +104,17 @@
 // Encode writes v as JSON.
 func Encode(v any) ([]byte, error) {
 	b, err := json.Marshal(v, json.Deterministic(true))
-	return b, errors.Wrap(err, "encode")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	return b, nil
 }
 
 func decodeFault(err error) FieldError {
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		return FieldError{Path: pointerPath(string(syntactic.JSONPointer)), Reason: syntactic.Err.Error()}
+	}
 	var semantic *json.SemanticError
 	if !errors.As(err, &semantic) {
 		return FieldError{Reason: err.Error()}
@@ -154,7 +169,7 @@
 	if !found {
 		return f.Field()
 	}
-	return path
+	return strings.ReplaceAll(path, inlineName+".", "")
 }
 
 func describe(f validator.FieldError) string {
