Add crocusctl

Cause: operators steer by targets and zones only, and two of them may change the same thing at once. Conclusion: a conflict shows what the store has and exits with 3.

--- /dev/null
+++ b/cmd/crocusctl/main.go
@@ -0,0 +1,128 @@
+// Command crocusctl lets operators change the fleet's configuration and ask
+// the fleet what it does.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/ctl"
+	"crocusnotch/internal/platform"
+	"crocusnotch/internal/wire"
+)
+
+var version = "devel"
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitInvalid  = 2
+	exitConflict = 3
+)
+
+const commandTimeout = 30 * time.Second
+
+// errUsage reports a missing or surplus argument.
+var errUsage = errors.New("see crocusctl --help")
+
+func main() {
+	c := parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	os.Exit(exitCode(os.Stderr, c.run(ctx)))
+}
+
+func exitCode(w io.Writer, err error) int {
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(w, err)
+	var invalid *config.InvalidError
+	if errors.As(err, &invalid) || errors.Is(err, errUsage) {
+		return exitInvalid
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return exitConflict
+	}
+	return exitFailed
+}
+
+// command is the parsed command line.
+type command struct {
+	settings string
+	check    bool
+	prune    bool
+	dryRun   bool
+	force    bool
+	file     string
+	name     string
+	key      string
+	subs     []subcommand
+	run      func(context.Context) error
+	conf     config.Control
+	store    *platform.Client
+	call     ctl.Caller
+}
+
+func parse() *command {
+	c := &command{settings: "crocusctl.json"}
+	p := flaggy.NewParser("crocusctl")
+	p.Description = "changes the fleet's configuration and asks the fleet what it does"
+	p.Version = version
+	p.String(&c.settings, "s", "settings", "JSON file with the store's URL, seeds and TLS files")
+	p.Bool(&c.check, "", "check", "check the settings and exit")
+	for _, s := range c.subcommands() {
+		p.AttachSubcommand(s.cmd, 1)
+	}
+	if err := p.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitInvalid)
+	}
+	c.run = c.selected(p)
+	return c
+}
+
+// selected returns the function of the subcommand that was given.
+func (c *command) selected(p *flaggy.Parser) func(context.Context) error {
+	for _, s := range c.subs {
+		if s.cmd.Used {
+			return c.withSettings(s.run)
+		}
+	}
+	if c.check {
+		return c.withSettings(func(context.Context) error { return nil })
+	}
+	p.ShowHelp()
+	return func(context.Context) error { return errUsage }
+}
+
+// withSettings reads the settings before run.
+func (c *command) withSettings(run func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := config.ReadFile(c.settings, &c.conf); err != nil {
+			return err
+		}
+		if c.check {
+			return nil
+		}
+		material, err := wire.LoadMutualTLS(c.conf.TLS)
+		if err != nil {
+			return err
+		}
+		c.store = platform.New(c.conf.Store, platform.Options{})
+		c.call = ctl.TLSCaller(material)
+		return run(ctx)
+	}
+}
--- /dev/null
+++ b/internal/ctl/fleet.go
@@ -0,0 +1,162 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/explain"
+	"crocusnotch/internal/wire"
+)
+
+const (
+	askTimeout = 3 * time.Second
+	askAtOnce  = 64
+	stateLeft  = "left"
+	stateDead  = "dead"
+)
+
+// ErrNoProcess reports that no process of the fleet could be asked.
+var ErrNoProcess = errors.New("no process of the fleet answers")
+
+// Caller makes one jsonrpc2 call to a process.
+type Caller func(ctx context.Context, to netip.AddrPort, method string, params, result any) error
+
+// TLSCaller calls over mutual TLS.
+func TLSCaller(m *wire.MutualTLS) Caller {
+	return func(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+		return wire.Call(ctx, to, m, method, params, result)
+	}
+}
+
+// Reply is what one process said of itself.
+type Reply struct {
+	Member wire.MemberStatus
+	Status wire.Status
+	Err    error // set when the process did not answer
+}
+
+// Survey asks every member of the fleet for its status. The members come from
+// the first seed that answers.
+func Survey(ctx context.Context, call Caller, seeds []netip.AddrPort) ([]Reply, error) {
+	members, err := Members(ctx, call, seeds)
+	if err != nil {
+		return nil, err
+	}
+	replies := make([]Reply, len(members))
+	askAll(members, func(i int) {
+		replies[i].Member = members[i]
+		replies[i].Err = ask(ctx, call, members[i].Control, wire.MethodStatus, nil, &replies[i].Status)
+	})
+	return replies, nil
+}
+
+// Members returns the members that the first answering seed knows, without
+// those that left or died.
+func Members(ctx context.Context, call Caller, seeds []netip.AddrPort) ([]wire.MemberStatus, error) {
+	for _, seed := range seeds {
+		var s wire.Status
+		if err := ask(ctx, call, seed.String(), wire.MethodStatus, nil, &s); err != nil {
+			continue
+		}
+		return slices.DeleteFunc(s.Peers, gone), nil
+	}
+	return nil, ErrNoProcess
+}
+
+func gone(m wire.MemberStatus) bool {
+	return m.State == stateLeft || m.State == stateDead
+}
+
+func ask(ctx context.Context, call Caller, control, method string, params, result any) error {
+	to, err := netip.ParseAddrPort(control)
+	if err != nil {
+		return errors.Wrap(err, "control address")
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return call(ctx, to, method, params, result)
+}
+
+func askAll(members []wire.MemberStatus, one func(i int)) {
+	var g errgroup.Group
+	g.SetLimit(askAtOnce)
+	for i := range members {
+		g.Go(func() error {
+			one(i)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// Explain collects the events about name from all processes, oldest first,
+// and counts the processes that did not answer.
+func Explain(ctx context.Context, call Caller, seeds []netip.AddrPort, name string) (events []explain.Event, silent int, err error) {
+	members, err := Members(ctx, call, seeds)
+	if err != nil {
+		return nil, 0, err
+	}
+	var mu sync.Mutex
+	askAll(members, func(i int) {
+		var r wire.ExplainResult
+		err := ask(ctx, call, members[i].Control, wire.MethodExplain, wire.ExplainParams{Name: name}, &r)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			silent++
+			return
+		}
+		events = append(events, r.Events...)
+	})
+	slices.SortStableFunc(events, func(a, b explain.Event) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Process, b.Process))
+	})
+	return events, silent, nil
+}
+
+// Behind returns the replies of processes that did not answer or whose
+// configuration is older than the revision.
+func Behind(replies []Reply, revision uint64) []Reply {
+	var out []Reply
+	for _, r := range replies {
+		if r.Err != nil || r.Status.ConfigRevision < revision {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Newest returns the highest revision that a process has in force.
+func Newest(replies []Reply) uint64 {
+	var highest uint64
+	for _, r := range replies {
+		highest = max(highest, r.Status.ConfigRevision)
+	}
+	return highest
+}
+
+// CheckUnused returns an error while a flow carries the key generation or a
+// process could not be asked.
+func CheckUnused(replies []Reply, generation uint8) error {
+	name := fmt.Sprint(generation)
+	for _, r := range replies {
+		if r.Err != nil {
+			return errors.Wrapf(r.Err, "%s does not answer, so its flows are not known", r.Member.Process)
+		}
+		if r.Status.SigningKey == generation {
+			return errors.Errorf("%s still signs with generation %d", r.Status.Process, generation)
+		}
+		if a := r.Status.Agent; a != nil && a.FlowsByKey[name] > 0 {
+			return errors.Errorf("%s has %d flows with generation %d", r.Status.Process, a.FlowsByKey[name], generation)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/print.go
@@ -0,0 +1,107 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
+)
+
+const columnGap = 2
+
+func table(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+}
+
+// WriteObjects lists objects with their revisions and values.
+func WriteObjects(w io.Writer, objects []config.Object) {
+	for _, o := range objects {
+		_, _ = fmt.Fprintf(w, "%s %s at revision %d\n  %s\n", o.Kind, o.Name, o.Revision, o.Value)
+	}
+}
+
+// WriteKeys lists the key generations without their secrets, each with the
+// number of flows whose tokens carry it.
+func WriteKeys(w io.Writer, k config.Keys, replies []Reply) {
+	flows := map[string]int{}
+	for _, r := range replies {
+		if r.Status.Agent == nil {
+			continue
+		}
+		for generation, n := range r.Status.Agent.FlowsByKey {
+			flows[generation] += n
+		}
+	}
+	t := table(w)
+	_, _ = fmt.Fprintln(t, "GENERATION\tUSE\tFLOWS")
+	for _, g := range k.Generations {
+		use := "accepted"
+		if g.ID == k.Signing {
+			use = "signing"
+		}
+		_, _ = fmt.Fprintf(t, "%d\t%s\t%d\n", g.ID, use, flows[fmt.Sprint(g.ID)])
+	}
+	_ = t.Flush()
+}
+
+// WriteStatus lists the processes and, below, those that lack the revision.
+// The columns FLOWS and STREAMS count what a forced stop would cut.
+func WriteStatus(w io.Writer, replies []Reply, revision uint64) {
+	t := table(w)
+	_, _ = fmt.Fprintln(t, "PROCESS\tROLE\tZONE\tSTATE\tCONFIG\tKEY\tSERVICE\tBUSY\tLIMIT\tSLOTS\tQUEUED\tFLOWS\tSTREAMS")
+	for _, r := range replies {
+		writeReply(t, r)
+	}
+	_ = t.Flush()
+	writeBehind(w, replies, revision)
+}
+
+func writeReply(w io.Writer, r Reply) {
+	if r.Err != nil {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\tno answer (%s)\n", r.Member.Process, r.Member.Role, r.Member.Zone, r.Member.State)
+		return
+	}
+	s := r.Status
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d", s.Process, s.Role, s.Zone, s.State, s.ConfigRevision, s.SigningKey)
+	if a := s.Agent; a != nil {
+		_, _ = fmt.Fprintf(w, "\t%s\t%d\t%d\t%d\t%d\t%d\t%d", a.Service, a.Busy, a.Limit, a.Slots, a.Queued, a.Flows, a.LongStreams)
+	}
+	_, _ = fmt.Fprintln(w)
+	for _, p := range s.ConfigProblems {
+		_, _ = fmt.Fprintf(w, "  refused: %s\n", p)
+	}
+}
+
+func writeBehind(w io.Writer, replies []Reply, revision uint64) {
+	behind := Behind(replies, revision)
+	if len(behind) == 0 {
+		_, _ = fmt.Fprintf(w, "revision %d is in force in all %d processes\n", revision, len(replies))
+		return
+	}
+	_, _ = fmt.Fprintf(w, "revision %d is missing in %d of %d processes:\n", revision, len(behind), len(replies))
+	for _, r := range behind {
+		if r.Err != nil {
+			_, _ = fmt.Fprintf(w, "  %s: no answer\n", r.Member.Process)
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "  %s: at revision %d\n", r.Status.Process, r.Status.ConfigRevision)
+	}
+}
+
+// WriteEvents lists events, a line each.
+func WriteEvents(w io.Writer, events []explain.Event, silent int) {
+	t := table(w)
+	for _, e := range events {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s %s\t%s\t%s\n", e.Time.UTC().Format(time.RFC3339Nano), e.Process, e.Subject, e.Name, e.What, e.Why)
+	}
+	_ = t.Flush()
+	if len(events) == 0 {
+		_, _ = fmt.Fprintln(w, "no process has an event about this")
+	}
+	if silent > 0 {
+		_, _ = fmt.Fprintf(w, "%d processes did not answer\n", silent)
+	}
+}
