--- /dev/null
+++ b/internal/routing/bench_test.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+)
+
+const (
+	designEndpoints = 26000
+	designAddresses = 16000
+)
+
+var benchSizes = []int{10, 100, 1000, 10000, designEndpoints}
+
+// BenchmarkOwner measures the verdict on a packet with a valid token.
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			fleet := testFleet()
+			table := NewTable(fleet, "west-1", agentRecords(n))
+			packets := make([][]byte, 4096)
+			for i := range packets {
+				t := Token{Agent: agentAddr(i % n), Service: bells, Zone: west1}
+				packets[i] = shortPacket(AppendToken(nil, fleet.Keys, t))
+			}
+			benchDecide(b, table, packets, []netip.AddrPort{bellsAddress}, ForwardOwner)
+		})
+	}
+}
+
+// BenchmarkCandidates measures the choice for a new flow.
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := NewTable(testFleet(), "west-1", agentRecords(n))
+			benchDecide(b, table, newFlows(), []netip.AddrPort{bellsAddress}, ForwardCandidates)
+		})
+	}
+}
+
+// BenchmarkSpread measures the choice for a new flow with the design's
+// endpoints spread over its addresses.
+func BenchmarkSpread(b *testing.B) {
+	fleet, addresses, records := designFleet()
+	table := NewTable(fleet, "west-1", records)
+	benchDecide(b, table, newFlows(), addresses, ForwardCandidates)
+}
+
+// BenchmarkNewTable measures a rebuild.
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("one-service/%d", n), func(b *testing.B) {
+			benchNewTable(b, testFleet(), agentRecords(n))
+		})
+	}
+	b.Run(fmt.Sprintf("spread/%d", designEndpoints), func(b *testing.B) {
+		fleet, _, records := designFleet()
+		benchNewTable(b, fleet, records)
+	})
+}
+
+func benchNewTable(b *testing.B, fleet *config.Fleet, records []membership.Record) {
+	b.ReportAllocs()
+	for b.Loop() {
+		NewTable(fleet, "west-1", records)
+	}
+}
+
+func benchDecide(b *testing.B, table *Table, packets [][]byte, to []netip.AddrPort, want Verdict) {
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		d := table.Decide(packets[i%len(packets)], testCaller, to[i%len(to)])
+		if d.Verdict != want {
+			b.Fatal(d.Verdict)
+		}
+		i++
+	}
+}
+
+func newFlows() [][]byte {
+	packets := make([][]byte, 4096)
+	for i := range packets {
+		packets[i] = longPacket(firstID(i))
+	}
+	return packets
+}
+
+// designFleet returns the design's endpoints behind its addresses, one
+// service for each address.
+func designFleet() (*config.Fleet, []netip.AddrPort, []membership.Record) {
+	fleet := testFleet()
+	addresses := make([]netip.AddrPort, designAddresses)
+	for i := range addresses {
+		ip := netip.AddrFrom4([4]byte{203, 0, byte(i >> 8), byte(i)})
+		addresses[i] = netip.AddrPortFrom(ip, 443)
+		s := &config.Service{ID: uint16(i + 1), Targets: config.Targets{FreshShare: 0.2}}
+		fleet.Services[s.ID] = s
+		fleet.ByAddress[addresses[i]] = s
+	}
+	records := agentRecords(designEndpoints)
+	for i := range records {
+		records[i].Service = uint16(i%designAddresses + 1)
+	}
+	return fleet, addresses, records
+}
