Decide admission, relays and at-most-once in pure packages

The engine joins it with the ledger, the relay choice and the retry budget: events go in, actions come out.

A not-run hands the claim to run a key to one asker only, so that two retries through two agents can't both run it. A relay carries the agents that it came through in place of a count, so that none gets it twice.

--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -39,6 +39,8 @@
 	ID       uint64 // unique among the works of the limiter
 	Priority Priority
 	Deadline time.Time // zero: none
+	// Kind groups works of like service time, for example by class.
+	Kind string
 }
 
 // Verdict is the outcome of an offer.
@@ -69,6 +71,7 @@
 type Decision struct {
 	Verdict Verdict
 	Refusal Refusal // when the verdict is VerdictRefuse
+	Change  Change  // other works that changed in the same step
 }
 
 // Result tells how a run ended, as a signal for the limit.
--- /dev/null
+++ b/internal/request/engine_test.go
@@ -0,0 +1,88 @@
+package request
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/admission"
+	"crocusnotch/internal/config"
+)
+
+var (
+	origin      = time.Unix(1_700_000_000, 0)
+	testTargets = config.Targets{
+		FreshShare: 0.2, FreshSteps: 4, FreshIntervalMillis: 100,
+		QueuePerSlot: 2, RetryShare: 0.1, RetentionMillis: 60_000,
+	}
+	onceClass = config.Class{Name: "departure", RunAtMostOnce: true, DeadlineMillis: 1000}
+)
+
+func ref(n byte, incarnation uint64) Ref {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, n}), 7000)
+	return Ref{Addr: addr, Incarnation: incarnation}
+}
+
+// newEngine returns an engine whose upstream bears all of its slots.
+func newEngine(n byte, slots int) *Engine {
+	t := testTargets
+	t.FreshShare = 1
+	e := New(Options{Self: ref(n, 1), Start: origin, Targets: t, Random: rand.New(rand.NewPCG(1, uint64(n)))})
+	e.Announce(origin, admission.Announcement{Slots: slots, Connections: 10, State: admission.StateWarm})
+	return e
+}
+
+func once(id ID, key string) Request {
+	return Request{ID: id, Key: key, Class: onceClass, Deadline: origin.Add(time.Second)}
+}
+
+func TestRunsAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 5)
+	is.Equal(e.Arrive(origin, once(1, "k")), []Action{RunUpstream{ID: 1}})
+
+	again := e.Arrive(origin, once(2, "k"))
+	is.Equal(len(again), 1)
+	is.Equal(again[0].(Reply).Reason, ReasonDuplicate)
+
+	answer := &Answer{Status: 200, Body: []byte("ok")}
+	done := e.UpstreamDone(origin, 1, Result{Outcome: OutcomeRan, Status: 200, Answer: answer})
+	is.Equal(done, []Action{Reply{ID: 1, Outcome: OutcomeRan}})
+
+	is.Equal(e.Arrive(origin, once(3, "k")), []Action{ReplayAnswer{ID: 3, Key: "k", Answer: answer}})
+}
+
+func TestResolveGrantsClaimOnce(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 5)
+	e.Drain(origin)
+	refused := e.Arrive(origin, once(1, "k"))
+	is.Equal(refused[0].(Reply).Outcome, OutcomeNotRun)
+
+	q := Query{Key: "k", Attempt: 2, Target: e.Self(), Asker: ref(2, 1)}
+	is.Equal(e.Resolve(origin, q).State, ResolvedNotRun)
+	is.Equal(e.Resolve(origin, q).State, ResolvedNotRun) // the answer may have been lost
+	q.Asker = ref(3, 1)
+	r := e.Resolve(origin, q)
+	is.Equal(r.State, ResolvedMoved)
+	is.True(r.Moved.Same(ref(2, 1)))
+	q.Target = ref(1, 0)
+	is.Equal(e.Resolve(origin, q).State, ResolvedUnknown) // asked for an older incarnation
+}
+
+func TestRelaysToLighterPeer(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	peer := ref(2, 7)
+	peer.Clock = 1
+	e.PeerLoad(origin, PeerReport{Peer: peer, Load: admission.Load{Limit: 4}})
+	is.Equal(e.Arrive(origin, once(1, "k")), []Action{
+		RelayTo{ID: 1, Peer: peer, Via: []netip.AddrPort{e.Self().Addr}},
+	})
+	ask := e.RelayDone(origin, 1, Result{Outcome: OutcomeUnknown, Reason: ReasonRelayFailed, Lost: true})
+	is.Equal(ask[0].(AskOwner).Owner, peer)
+	is.Equal(e.OwnerAnswered(origin, 1, Resolution{State: ResolvedNotRun}), []Action{RunUpstream{ID: 1}})
+}
--- a/internal/request/event.go
+++ b/internal/request/event.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"net/netip"
 	"time"
 
 	"crocusnotch/internal/admission"
@@ -18,9 +19,11 @@
 	Class config.Class // the class of the service that matches
 	// Deadline is when the caller stops waiting; zero means none.
 	Deadline time.Time
-	Relays   int  // relays done so far; 0 for callers
-	Attempt  int  // the caller's count of tries, from 1; 0 counts as 1
-	Owner    *Ref // the caller's Crocus-Owner, nil when there was none
+	// Via are the relay addresses of the agents that it came through, from
+	// Crocus-Relays; empty for callers.
+	Via     []netip.AddrPort
+	Attempt int  // the caller's count of tries, from 1; 0 counts as 1
+	Owner   *Ref // the caller's Crocus-Owner, nil when there was none
 	// Target is the reference that the relaying agent sent in Crocus-Target;
 	// nil for callers.
 	Target *Ref
@@ -65,14 +68,15 @@
 	Retry bool // a retry of an earlier run of this request
 }
 
-// RelayTo hands the request to a peer agent, with the headers Crocus-Relays:
-// Relays, Crocus-Target: Peer and the remaining deadline. The shell calls
-// RelayDone exactly once for it.
+// RelayTo hands the request to a peer agent, with the headers Crocus-Relays
+// (FormatVia of Via), Crocus-Target (Peer), the remaining deadline, the key and
+// the attempt as they came. The shell sends it once, without a retry of its
+// transport, and calls RelayDone exactly once for it.
 type RelayTo struct {
 	ID     ID
 	Peer   Ref
-	Relays int
-	Reason Reason // why it does not run here
+	Via    []netip.AddrPort
+	Reason Reason // why it does not run here; ReasonNone when the peer is less loaded
 	Retry  bool   // a retry of an earlier run of this request
 }
 
--- /dev/null
+++ b/internal/request/ledger.go
@@ -0,0 +1,138 @@
+package request
+
+import "time"
+
+const (
+	// MaxKeyBytes is the longest accepted Idempotency-Key.
+	MaxKeyBytes = 256
+	// entryBytes is the assumed cost of an entry besides its key and answer.
+	entryBytes = 256
+	// reserveShare is one over the part of the ledger that only tombstones of
+	// refused requests may use.
+	reserveShare = 4
+)
+
+// LedgerLimits bound the ledger's memory.
+type LedgerLimits struct {
+	Entries int
+	Bytes   int
+}
+
+// DefaultLedgerLimits are the bounds of an agent.
+var DefaultLedgerLimits = LedgerLimits{Entries: 1 << 16, Bytes: 32 << 20}
+
+// entryState is what the ledger knows of a key.
+type entryState uint8
+
+const (
+	stateActive     entryState = iota + 1 // a request of this agent is under way
+	stateRan                              // ran whole; answer may hold the copy
+	stateUnknown                          // handed over, and its end can't be known
+	stateTombstoned                       // refused here; attempts up to attempt never start
+	stateMoved                            // moved may know the end, or holds the claim
+)
+
+// entry is what became of one key.
+type entry struct {
+	key     string
+	state   entryState
+	attempt int  // the highest attempt seen
+	claim   bool // this agent alone decides whether the key may run
+	granted bool // stateMoved: the claim went to moved
+	reason  Reason
+	answer  *Answer
+	moved   Ref
+	expires time.Time // zero while active
+	bytes   int
+}
+
+// ledger keeps the outcomes of non-idempotent requests for the retention.
+// Active entries stay until they end; ended ones until they expire.
+type ledger struct {
+	limits    LedgerLimits
+	retention time.Duration
+	entries   map[string]*entry
+	bytes     int
+	ended     []expiry // by the time of ending
+	head      int      // first of ended that is still in use
+}
+
+// expiry is one possible end of an entry. It is stale when the entry's own
+// time differs.
+type expiry struct {
+	key string
+	at  time.Time
+}
+
+func newLedger(limits LedgerLimits, retention time.Duration) ledger {
+	return ledger{limits: limits, retention: retention, entries: map[string]*entry{}}
+}
+
+func (l *ledger) find(key string) *entry { return l.entries[key] }
+
+// hasRoom reports whether a new key may become active. The rest is kept for
+// tombstones.
+func (l *ledger) hasRoom() bool {
+	reserve := l.limits.Entries / reserveShare
+	return len(l.entries) < l.limits.Entries-reserve && l.bytes < l.limits.Bytes-l.limits.Bytes/reserveShare
+}
+
+// hasReserve reports whether a tombstone for a new key fits.
+func (l *ledger) hasReserve() bool {
+	return len(l.entries) < l.limits.Entries && l.bytes+MaxKeyBytes+entryBytes <= l.limits.Bytes
+}
+
+// add makes an active entry. The caller has asked hasRoom or hasReserve.
+func (l *ledger) add(key string, attempt int, claim bool) *entry {
+	e := &entry{key: key, state: stateActive, attempt: attempt, claim: claim}
+	e.bytes = len(key) + entryBytes
+	l.bytes += e.bytes
+	l.entries[key] = e
+	return e
+}
+
+// reopen makes an ended entry active for a later attempt.
+func (l *ledger) reopen(e *entry, attempt int) {
+	e.state = stateActive
+	e.attempt = max(e.attempt, attempt)
+	e.expires = time.Time{}
+}
+
+// end sets the outcome of an entry and starts its retention.
+func (l *ledger) end(now time.Time, e *entry, state entryState, reason Reason) {
+	e.state = state
+	e.reason = reason
+	e.expires = now.Add(l.retention)
+	l.ended = append(l.ended, expiry{key: e.key, at: e.expires})
+}
+
+// keep stores the copy of an answer if the bytes allow it.
+func (l *ledger) keep(e *entry, a *Answer) {
+	if a == nil {
+		return
+	}
+	size := len(a.Body) + len(a.ContentType)
+	if size > MaxAnswerBytes+len(a.ContentType) || l.bytes+size > l.limits.Bytes {
+		return
+	}
+	e.answer = a
+	e.bytes += size
+	l.bytes += size
+}
+
+// expire forgets entries whose retention is over.
+func (l *ledger) expire(now time.Time) {
+	for l.head < len(l.ended) && !now.Before(l.ended[l.head].at) {
+		x := l.ended[l.head]
+		l.ended[l.head] = expiry{}
+		l.head++
+		if e := l.entries[x.key]; e != nil && e.expires.Equal(x.at) {
+			l.bytes -= e.bytes
+			delete(l.entries, x.key)
+		}
+	}
+	if 2*l.head > len(l.ended) {
+		l.ended = append(l.ended[:0], l.ended[l.head:]...)
+		l.head = 0
+	}
+}
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -15,7 +15,8 @@
 	HeaderReason = "Crocus-Reason"
 	// HeaderDeadline carries the remaining time in milliseconds.
 	HeaderDeadline = "Crocus-Deadline-Ms"
-	// HeaderRelays carries, between agents only, the relays done so far.
+	// HeaderRelays carries, between agents only, the relay addresses of the
+	// agents that the request came through, separated by commas.
 	HeaderRelays = "Crocus-Relays"
 	// HeaderRetryAfter tells the caller when to come back, in seconds.
 	HeaderRetryAfter = "Retry-After"
--- a/internal/request/ref.go
+++ b/internal/request/ref.go
@@ -63,6 +63,35 @@
 	return r, nil
 }
 
+// FormatVia writes the addresses as Crocus-Relays carries them.
+func FormatVia(via []netip.AddrPort) string {
+	parts := make([]string, len(via))
+	for i, a := range via {
+		parts[i] = a.String()
+	}
+	return strings.Join(parts, ",")
+}
+
+// ParseVia reads the form that FormatVia writes.
+func ParseVia(s string) ([]netip.AddrPort, error) {
+	if s == "" {
+		return nil, nil
+	}
+	parts := strings.Split(s, ",")
+	if len(parts) > MaxRelays {
+		return nil, errors.Errorf("more than %d relays", MaxRelays)
+	}
+	via := make([]netip.AddrPort, len(parts))
+	for i, part := range parts {
+		a, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return nil, errors.Wrap(err, "relays")
+		}
+		via[i] = a
+	}
+	return via, nil
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (r Ref) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
 
--- /dev/null
+++ b/internal/request/resolve.go
@@ -0,0 +1,144 @@
+package request
+
+import "time"
+
+// maxAsks bounds how many agents are asked in a row for one key.
+const maxAsks = 4
+
+// Resolve answers a peer agent's question after a key. A key that has not run
+// is tombstoned in the same step, and the claim to run it goes to the asker.
+func (e *Engine) Resolve(now time.Time, q Query) Resolution {
+	e.begin(now)
+	if !q.Target.Same(e.self) {
+		return unknown(ReasonOwnerLost)
+	}
+	known := e.ledger.find(q.Key)
+	if known == nil {
+		return e.resolveMissing(now, q)
+	}
+	switch known.state {
+	case stateActive:
+		return Resolution{State: ResolvedRunning, Reason: ReasonDuplicate}
+	case stateRan:
+		return Resolution{State: ResolvedRan, Answer: known.answer}
+	case stateTombstoned:
+		return e.resolveTombstoned(now, q, known)
+	case stateMoved:
+		return resolveMoved(q, known)
+	}
+	return unknown(known.reason)
+}
+
+func unknown(reason Reason) Resolution {
+	return Resolution{State: ResolvedUnknown, Reason: reason}
+}
+
+// resolveMissing answers for a key that is not in the ledger. The owner of a
+// key has had it, so that it is forgotten; a relay may never have come.
+func (e *Engine) resolveMissing(now time.Time, q Query) Resolution {
+	if !e.vouches(now, q.Target.Clock) {
+		return unknown(ReasonKeyExpired)
+	}
+	if !e.ledger.hasReserve() {
+		return unknown(ReasonLedgerFull)
+	}
+	known := e.ledger.add(q.Key, q.Attempt, false)
+	e.moveTo(now, known, q.Asker, true)
+	return Resolution{State: ResolvedNotRun, Reason: ReasonRelayFailed}
+}
+
+// resolveTombstoned hands the claim on. An owner's tombstone covers earlier
+// attempts only; what it was told of a later one stands.
+func (e *Engine) resolveTombstoned(now time.Time, q Query, known *entry) Resolution {
+	relayed := q.Target.Clock > 0
+	if !relayed && (!known.claim || q.Attempt <= known.attempt) {
+		return unknown(ReasonTombstoned)
+	}
+	known.attempt = max(known.attempt, q.Attempt)
+	known.claim = false
+	reason := known.reason
+	e.moveTo(now, known, q.Asker, true)
+	return Resolution{State: ResolvedNotRun, Reason: reason}
+}
+
+// resolveMoved points to the agent that may know, or repeats a grant whose
+// answer was lost.
+func resolveMoved(q Query, known *entry) Resolution {
+	if known.granted && known.moved.Same(q.Asker) {
+		return Resolution{State: ResolvedNotRun, Reason: ReasonTombstoned}
+	}
+	moved := known.moved
+	return Resolution{State: ResolvedMoved, Moved: &moved}
+}
+
+// askFirst begins to ask after the job's key.
+func (e *Engine) askFirst(j *job, owner Ref) {
+	j.pointer = owner
+	j.asks = 0
+	e.ask(j, owner)
+}
+
+// ask sends a question for the job's key.
+func (e *Engine) ask(j *job, owner Ref) {
+	j.phase = phaseAsking
+	j.asked = owner
+	j.asks++
+	e.do(AskOwner{ID: j.ID, Owner: owner, Query: Query{
+		Key:     j.Key,
+		Attempt: j.Attempt,
+		Target:  owner,
+		Asker:   e.self,
+	}})
+}
+
+// OwnerAnswered takes the answer to a question.
+func (e *Engine) OwnerAnswered(now time.Time, id ID, r Resolution) []Action {
+	j := e.jobs.byID[id]
+	if j == nil || j.phase != phaseAsking {
+		return nil
+	}
+	e.begin(now)
+	switch r.State {
+	case ResolvedRan:
+		e.replay(now, j, r.Answer)
+	case ResolvedNotRun:
+		e.claimed(now, j)
+	case ResolvedMoved:
+		e.follow(now, j, r.Moved)
+	case ResolvedRunning:
+		e.finish(now, j, OutcomeUnknown, ReasonDuplicate)
+	default:
+		e.finish(now, j, OutcomeUnknown, r.Reason)
+	}
+	return e.take()
+}
+
+func (e *Engine) replay(now time.Time, j *job, a *Answer) {
+	delete(e.jobs.byID, j.ID)
+	e.ledger.end(now, j.entry, stateRan, ReasonNone)
+	e.ledger.keep(j.entry, a)
+	e.do(ReplayAnswer{ID: j.ID, Key: j.Key, Answer: j.entry.answer})
+}
+
+// claimed goes on with a request that this agent alone may run now. A relay
+// that came back leaves the claim with the agent that relayed it here.
+func (e *Engine) claimed(now time.Time, j *job) {
+	j.entry.granted = false
+	if j.Target == nil {
+		j.entry.claim = true
+	}
+	if len(j.tried) > 0 {
+		e.relayRefused(now, j)
+		return
+	}
+	e.place(now, j)
+}
+
+// follow asks the agent that the last one pointed to.
+func (e *Engine) follow(now time.Time, j *job, to *Ref) {
+	if to == nil || to.Addr == e.self.Addr || j.asks >= maxAsks {
+		e.finish(now, j, OutcomeUnknown, ReasonOwnerLost)
+		return
+	}
+	e.ask(j, *to)
+}
