Add the entry's shell

Takes packets from the fabric, hands them to agents as package routing decides, and relays answers. Counters by verdict, log lines and events for changes of state only, a graceful stop that announces itself first.

--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,172 @@
+// Package entry is the shell of crocus-entry: it takes packets from the
+// fabric, hands them to agents as package routing decides, and relays the
+// agents' answers to the fabric. It keeps nothing of a flow.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/routing"
+	"crocusnotch/internal/wire"
+)
+
+const (
+	// readersPerSocket is the number of goroutines that take datagrams from
+	// one socket.
+	readersPerSocket = 2
+	// drainPeriod is the time from the announcement of a stop until the entry
+	// leaves, in which the fabric and the agents turn to other entries.
+	drainPeriod = 2 * time.Second
+	// leavePeriod is the time after leaving in which late packets are still
+	// relayed.
+	leavePeriod = 500 * time.Millisecond
+)
+
+// Deps are what an entry is given.
+type Deps struct {
+	Log      *slog.Logger
+	Registry *prometheus.Registry
+	TLS      *wire.MutualTLS
+	// Callers is used by agents only.
+	Callers *tls.Certificate
+	// Fleet is the fleet node.
+	Fleet Fleet
+	// Listen opens the sockets; nil means UDP.
+	Listen func(netip.AddrPort) (PacketConn, error)
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	settings config.Entry
+	log      *slog.Logger
+	fleet    Fleet
+	fabric   PacketConn
+	data     PacketConn
+	counters *counters
+	table    atomic.Pointer[routing.Table]
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// New opens the sockets of an entry.
+func New(s config.Entry, d Deps) (*Entry, error) {
+	listen := d.Listen
+	if listen == nil {
+		listen = listenUDP
+	}
+	fabric, err := listen(s.Fabric)
+	if err != nil {
+		return nil, errors.Wrap(err, "open fabric socket")
+	}
+	data, err := listen(s.Data)
+	if err != nil {
+		_ = fabric.Close()
+		return nil, errors.Wrap(err, "open data socket")
+	}
+	e := &Entry{
+		settings: s,
+		log:      d.Log,
+		fleet:    d.Fleet,
+		fabric:   fabric,
+		data:     data,
+		counters: newCounters(d.Registry),
+		stop:     make(chan struct{}),
+	}
+	e.table.Store(routing.NewTable(config.Empty(), s.Zone, nil))
+	e.fleet.SetStatus(e.counters.fill)
+	return e, nil
+}
+
+// Stop starts a graceful stop: the entry announces that it drains, relays for
+// a short time and leaves. Run returns when it is done.
+func (e *Entry) Stop() {
+	e.stopOnce.Do(func() { close(e.stop) })
+}
+
+// Run relays packets until ctx ends, which is abrupt and returns the cause, or
+// a graceful stop is done, which returns nil.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.fleet.Run(ctx) })
+	g.Go(func() error { return e.follow(ctx) })
+	for range readersPerSocket {
+		g.Go(newForwarder(e).run)
+		g.Go(newRelay(e).run)
+	}
+	stopped := false
+	g.Go(func() error {
+		stopped = e.awaitStop(ctx)
+		cancel()
+		e.close()
+		return nil
+	})
+	err := g.Wait()
+	if stopped {
+		return nil
+	}
+	if err == nil {
+		err = context.Cause(ctx)
+	}
+	return err
+}
+
+// awaitStop waits for the end of ctx or of a graceful stop; it reports whether
+// it was the latter.
+func (e *Entry) awaitStop(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.stop:
+	}
+	e.log.Info("draining", "seconds", drainPeriod.Seconds())
+	e.fleet.Update(func(r *membership.Record) { r.State = membership.StateDraining })
+	if !sleep(ctx, drainPeriod) {
+		return false
+	}
+	e.fleet.Leave(ctx)
+	return sleep(ctx, leavePeriod)
+}
+
+// sleep reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (e *Entry) close() {
+	_ = e.fabric.Close()
+	_ = e.data.Close()
+}
+
+// Health reports whether the entry can forward new flows.
+func (e *Entry) Health() (ok bool, reason string) {
+	select {
+	case <-e.stop:
+		return false, "draining"
+	default:
+	}
+	if e.table.Load().Keys() == nil {
+		return false, "no keys known yet"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"net/netip"
+
+	"crocusnotch/internal/wire"
+)
+
+// answerVerdict is what becomes of a datagram from an agent.
+type answerVerdict uint8
+
+// Verdicts on answers. The set is closed: each has a counter.
+const (
+	answerRelayed answerVerdict = iota
+	answerTooShort
+	answerMalformed
+	answerUnknownKey
+	answerBadMAC
+	answerWrongKind
+	answerVerdictCount
+)
+
+var answerVerdictNames = [answerVerdictCount]string{
+	answerRelayed:    "relayed",
+	answerTooShort:   "too-short",
+	answerMalformed:  "malformed",
+	answerUnknownKey: "unknown-key",
+	answerBadMAC:     "bad-mac",
+	answerWrongKind:  "wrong-kind",
+}
+
+// relay hands answers from agents to the fabric. Each one has its own buffer.
+type relay struct {
+	entry *Entry
+}
+
+func newRelay(e *Entry) *relay { return &relay{entry: e} }
+
+func (r *relay) run() error {
+	return receive(r.entry.data, 0, r.entry.counters.readFailed, r.handle)
+}
+
+func (r *relay) handle(buffer []byte, size int) {
+	out, verdict := r.answer(buffer, size)
+	r.entry.counters.answer(verdict)
+	if verdict != answerRelayed {
+		return
+	}
+	if _, err := r.entry.fabric.WriteToUDPAddrPort(out, r.entry.settings.FabricReturn); err != nil {
+		r.entry.counters.sendFailed()
+	}
+}
+
+// answer turns a datagram from an agent into one for the fabric, in place: the
+// PROXY header is shorter than the wire header, whose end it takes.
+func (r *relay) answer(buffer []byte, size int) ([]byte, answerVerdict) {
+	keys := r.entry.table.Load().Keys()
+	if keys == nil {
+		return nil, answerUnknownKey
+	}
+	h, verdict := wire.ParseHeader(keys, buffer[:size])
+	if verdict != wire.HeaderValid {
+		return nil, answerFault(verdict)
+	}
+	if h.Kind != wire.KindToCaller {
+		return nil, answerWrongKind
+	}
+	if size == wire.HeaderSize || !usable(h.Caller) || !usable(h.Destination) {
+		return nil, answerMalformed
+	}
+	start := wire.HeaderSize - proxySize(h.Destination, h.Caller)
+	putProxy(buffer[start:wire.HeaderSize], h.Destination, h.Caller)
+	return buffer[start:size], answerRelayed
+}
+
+func answerFault(v wire.HeaderVerdict) answerVerdict {
+	switch v {
+	case wire.HeaderTooShort:
+		return answerTooShort
+	case wire.HeaderUnknownKey:
+		return answerUnknownKey
+	case wire.HeaderBadMAC:
+		return answerBadMAC
+	}
+	return answerMalformed
+}
+
+func usable(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() != 0 && !a.Addr().IsUnspecified()
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -15,7 +15,8 @@
 	// SuspicionIgnored is true while most agents are suspected, so that these
 	// stay candidates.
 	SuspicionIgnored bool
-	// OtherRegions is true while no agent of the own region is ready.
+	// OtherRegions is true while agents of other regions are candidates because
+	// none of the own region is ready.
 	OtherRegions bool
 }
 
@@ -39,11 +40,10 @@
 // Suspected agents stay candidates while they are the larger part.
 func (s *selection) pool(agents []*membership.Record) *pool {
 	scope := s.ownRegion(agents)
-	other := scope == nil
-	if other {
+	if scope == nil {
 		scope = agents
 	}
-	sum := Summary{OtherRegions: other && s.region != ""}
+	var sum Summary
 	for _, r := range scope {
 		sum.count(r.State)
 	}
@@ -51,6 +51,7 @@
 	sum.SuspicionIgnored = sum.Suspected > 0 && 2*sum.Ready < all
 	endpoints := s.endpoints(scope, sum.SuspicionIgnored)
 	sum.Candidates = len(endpoints)
+	sum.OtherRegions = s.region != "" && s.anyElsewhere(scope)
 	return &pool{ring: newRing(endpoints), summary: sum}
 }
 
@@ -72,6 +73,15 @@
 	return own
 }
 
+func (s *selection) anyElsewhere(agents []*membership.Record) bool {
+	for _, r := range agents {
+		if s.fleet.Region(r.Zone) != s.region {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Summary) count(state membership.State) {
 	switch state {
 	case membership.StateReady, membership.StateCold:
