Rebuild the routing table from the one before

A change of one agent rebuilt every service's ring.

The bound on shares of new flows is 1.10 at today's sizes, the stated one for imbalance.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"crocusnotch/internal/routing"
 )
 
 const (
@@ -22,7 +20,7 @@
 	reporter := newReporter(e.log, e.fleet.Events())
 	for {
 		start := time.Now()
-		table := routing.NewTable(e.fleet.Config(), e.settings.Zone, e.fleet.Members())
+		table := e.table.Load().Next(e.fleet.Config(), e.fleet.Members())
 		e.table.Store(table)
 		reporter.report(time.Now(), table)
 		rest := min(rebuildRest*time.Since(start), maxRebuildRest)
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -63,6 +63,31 @@
 	})
 }
 
+// BenchmarkNext measures the table after a change of one agent.
+func BenchmarkNext(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("one-service/%d", n), func(b *testing.B) {
+			benchNext(b, testFleet(), agentRecords(n))
+		})
+	}
+	b.Run(fmt.Sprintf("spread/%d", designEndpoints), func(b *testing.B) {
+		fleet, _, records := designFleet()
+		benchNext(b, fleet, records)
+	})
+}
+
+func benchNext(b *testing.B, fleet *config.Fleet, records []membership.Record) {
+	b.ReportAllocs()
+	table := NewTable(fleet, "west-1", records)
+	states := [...]membership.State{membership.StateDraining, membership.StateCold, membership.StateReady}
+	i := 0
+	for b.Loop() {
+		records[i/len(states)%len(records)].State = states[i%len(states)]
+		table = table.Next(fleet, records)
+		i++
+	}
+}
+
 func benchNewTable(b *testing.B, fleet *config.Fleet, records []membership.Record) {
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/routing/placement_test.go
+++ b/internal/routing/placement_test.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,6 +43,40 @@
 	})
 }
 
+// A table that followed many changes must be the one that is built anew.
+func TestNextEqualsNewTable(t *testing.T) {
+	states := []membership.State{
+		membership.StateReady, membership.StateCold, membership.StateDraining,
+		membership.StateSuspect, membership.StateLeft, membership.StateDead,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const agents, flows = 40, 100
+		all := agentRecords(agents)
+		table := NewTable(testFleet(), "west-1", nil)
+		for range 10 {
+			i := rapid.IntRange(0, agents-1).Draw(t, "agent")
+			all[i].State = rapid.SampledFrom(states).Draw(t, "state")
+			all[i].Slots = rapid.Uint16Range(0, 9).Draw(t, "slots")
+			all[i].Service = rapid.Uint16Range(bells, chimes).Draw(t, "service")
+			known := all[:rapid.IntRange(0, agents).Draw(t, "known")]
+			table = table.Next(testFleet(), known)
+			anew := NewTable(testFleet(), "west-1", known)
+			for _, to := range []netip.AddrPort{bellsAddress, chimesAddress} {
+				for i := range flows {
+					p := longPacket(firstID(i))
+					a, b := table.Decide(p, testCaller, to), anew.Decide(p, testCaller, to)
+					if a != b {
+						t.Fatalf("flow %d: %+v, in a new table %+v", i, a, b)
+					}
+				}
+			}
+			if table.Summary(bells) != anew.Summary(bells) {
+				t.Fatalf("%+v, in a new table %+v", table.Summary(bells), anew.Summary(bells))
+			}
+		}
+	})
+}
+
 // Entries with another order of records must choose alike.
 func TestOrderOfRecords(t *testing.T) {
 	is := is.New(t)
@@ -58,38 +94,44 @@
 	}
 }
 
-// Shares of new flows must follow the weights. The largest share may exceed
-// the fair one by a quarter: this much the hand-over between the two
-// candidates evens out.
+// Shares of new flows must follow the weights: at the sizes of today's
+// services within the bound for imbalance, 1.10; at all sizes so closely that
+// the hand-over between the two candidates can even out the rest.
 func TestSharesFollowWeights(t *testing.T) {
-	const flowsPerAgent, allowed = 4000, 0.25
-	for _, n := range []int{3, 7, 11, 600} {
-		records := agentRecords(n)
-		records[0].State = membership.StateCold
-		weights := 0.0
-		for i := range records {
-			weights += shareWeight(&records[i])
-		}
-		got := map[netip.AddrPort]int{}
-		table := NewTable(testFleet(), "west-1", records)
-		for i := range flowsPerAgent * n {
-			got[table.Decide(longPacket(firstID(i)), testCaller, bellsAddress).Agent]++
-		}
-		worst, worstCold := 0.0, 0.0
-		for i := range records {
-			fair := flowsPerAgent * float64(n) * shareWeight(&records[i]) / weights
-			off := math.Abs(float64(got[records[i].Addr])-fair) / fair
-			if i == 0 {
-				worstCold = off
-				continue
+	for _, c := range []struct {
+		agents  int
+		allowed float64
+	}{{3, 0.10}, {4, 0.10}, {7, 0.10}, {600, 0.25}} {
+		t.Run(fmt.Sprint(c.agents), func(t *testing.T) {
+			records := agentRecords(c.agents)
+			records[0].State = membership.StateCold
+			off := offFairShare(records)
+			t.Logf("off the fair share by at most %.3f, the cold one %.3f", slices.Max(off[1:]), off[0])
+			if slices.Max(off[1:]) > c.allowed || off[0] > 0.25 {
+				t.Error("a share is too large or too small")
 			}
-			worst = max(worst, off)
-		}
-		t.Logf("%d agents: off the fair share by at most %.3f, the cold one %.3f", n, worst, worstCold)
-		if worst > allowed || worstCold > 2*allowed {
-			t.Errorf("%d agents: a share is off by %.3f, the cold one by %.3f", n, worst, worstCold)
-		}
+		})
+	}
+}
+
+// offFairShare returns by how much each agent's flows differ from its share.
+func offFairShare(records []membership.Record) []float64 {
+	const flowsPerAgent = 2000
+	weights := 0.0
+	for i := range records {
+		weights += shareWeight(&records[i])
+	}
+	got := map[netip.AddrPort]int{}
+	table := NewTable(testFleet(), "west-1", records)
+	for i := range flowsPerAgent * len(records) {
+		got[table.Decide(longPacket(firstID(i)), testCaller, bellsAddress).Agent]++
+	}
+	off := make([]float64, len(records))
+	for i := range records {
+		fair := flowsPerAgent * float64(len(records)) * shareWeight(&records[i]) / weights
+		off[i] = math.Abs(float64(got[records[i].Addr])-fair) / fair
 	}
+	return off
 }
 
 func shareWeight(r *membership.Record) float64 {
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"net/netip"
-
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/membership"
 )
@@ -26,60 +24,71 @@
 	summary Summary
 }
 
-func (p *pool) pick(key uint64) (first, second netip.AddrPort) { return p.ring.pick(key) }
-
-// selection builds the pool of one service.
+// selection selects the candidates of one service after the other.
 type selection struct {
-	fleet   *config.Fleet
-	region  string
-	service *config.Service
+	home    [256]bool // zones of the own region, by ID
+	regions bool      // the own region is known
+	scratch []endpoint
+	own     []*membership.Record
 }
 
-// pool selects the candidates among the agents of the service, whose zones
-// are in. Agents of the own region come alone while one of them is ready.
-// Suspected agents stay candidates while they are the larger part.
-func (s *selection) pool(agents []*membership.Record) *pool {
-	scope := s.ownRegion(agents)
-	if scope == nil {
-		scope = agents
+func newSelection(fleet *config.Fleet, zone string) *selection {
+	s := &selection{}
+	z := fleet.ByZone[zone]
+	if z == nil {
+		return s
 	}
-	var sum Summary
-	for _, r := range scope {
-		sum.count(r.State)
+	s.regions = true
+	for id, other := range fleet.Zones {
+		s.home[id] = other.Region == z.Region
 	}
-	all := sum.Ready + sum.Suspected
-	sum.SuspicionIgnored = sum.Suspected > 0 && 2*sum.Ready < all
-	endpoints := s.endpoints(scope, sum.SuspicionIgnored)
-	sum.Candidates = len(endpoints)
-	sum.OtherRegions = s.region != "" && s.anyElsewhere(scope)
-	return &pool{ring: newRing(endpoints), summary: sum}
+	return s
 }
 
-// ownRegion returns the agents of the own region, or nil when none of them is
-// ready.
-func (s *selection) ownRegion(agents []*membership.Record) []*membership.Record {
-	var own []*membership.Record
-	ready := false
-	for _, r := range agents {
-		if s.fleet.Region(r.Zone) != s.region {
-			continue
+// pool selects the candidates among the agents of the service, which are in
+// the order of their addresses and in zones that are in. Agents of the own
+// region come alone while one of them is ready. Suspected agents stay
+// candidates while they are the larger part.
+func (s *selection) pool(before *pool, service *config.Service, agents []*membership.Record) *pool {
+	scope, other := s.scope(agents)
+	sum := Summary{OtherRegions: other}
+	for _, r := range scope {
+		sum.count(r.State)
+	}
+	sum.SuspicionIgnored = sum.Suspected > sum.Ready
+	s.scratch = s.scratch[:0]
+	for _, r := range scope {
+		if w := weight(r, service, sum.SuspicionIgnored); w > 0 {
+			s.scratch = append(s.scratch, endpoint{addr: r.Addr, id: hashAddr(r.Addr), weight: w})
 		}
-		own = append(own, r)
-		ready = ready || r.State == membership.StateReady
 	}
-	if !ready {
-		return nil
+	sum.Candidates = len(s.scratch)
+	r := emptyRing
+	if before != nil {
+		r = before.ring
 	}
-	return own
+	return &pool{ring: r.with(s.scratch), summary: sum}
 }
 
-func (s *selection) anyElsewhere(agents []*membership.Record) bool {
+// scope returns the agents that come into question: those of the own region
+// if one of them is ready, or all. other is true when agents of other regions
+// are among them.
+func (s *selection) scope(agents []*membership.Record) (scope []*membership.Record, other bool) {
+	if !s.regions {
+		return agents, false
+	}
+	s.own = s.own[:0]
+	ready := false
 	for _, r := range agents {
-		if s.fleet.Region(r.Zone) != s.region {
-			return true
+		if s.home[r.Zone] {
+			s.own = append(s.own, r)
+			ready = ready || r.State == membership.StateReady
 		}
 	}
-	return false
+	if ready {
+		return s.own, false
+	}
+	return agents, len(s.own) < len(agents)
 }
 
 func (s *Summary) count(state membership.State) {
@@ -91,24 +100,13 @@
 	}
 }
 
-func (s *selection) endpoints(agents []*membership.Record, suspects bool) []endpoint {
-	var out []endpoint
-	for _, r := range agents {
-		weight := s.weight(r, suspects)
-		if weight > 0 {
-			out = append(out, endpoint{addr: r.Addr, id: hashAddr(r.Addr), weight: weight})
-		}
-	}
-	return out
-}
-
 // weight returns the agent's share of new flows, in slots; 0 excludes it.
-func (s *selection) weight(r *membership.Record, suspects bool) float64 {
+func weight(r *membership.Record, service *config.Service, suspects bool) float64 {
 	switch r.State {
 	case membership.StateReady:
 		return float64(r.Slots)
 	case membership.StateCold:
-		return float64(r.Slots) * s.service.Targets.FreshShare
+		return float64(r.Slots) * service.Targets.FreshShare
 	case membership.StateSuspect, membership.StateDead:
 		if suspects {
 			return float64(r.Slots)
--- a/internal/routing/ring.go
+++ b/internal/routing/ring.go
@@ -3,7 +3,6 @@
 import (
 	"math/bits"
 	"net/netip"
-	"slices"
 )
 
 const (
@@ -23,21 +22,23 @@
 	weight float64 // slots that may bear new flows, above 0
 }
 
-// point is one position of an endpoint on the ring.
-type point struct {
-	position uint32
-	endpoint uint32 // index
-}
+// point is a position in the high bits and the index of its endpoint in the
+// low ones.
+type point uint64
+
+func (p point) position() uint32 { return uint32(p >> positionBits) }
+
+func (p point) endpoint() uint32 { return uint32(p) }
 
 // ring is weighted multi-probe consistent hashing: each flow has several
 // probes, and the endpoint whose point follows one of them most closely has
 // the flow. The cost hardly depends on the number of endpoints. An added
 // endpoint only takes flows, a removed one only gives them away.
 type ring struct {
-	endpoints []endpoint
-	points    []point  // by position
-	starts    []uint32 // index of the first point for each prefix of a position
-	shift     uint     // position >> shift is its prefix
+	endpoints []endpoint // by address
+	points    []point    // by position
+	starts    []uint32   // index of the first point for each prefix of a position
+	shift     uint       // position >> shift is its prefix
 }
 
 // hit is the point that follows a position.
@@ -47,22 +48,6 @@
 	endpoint uint32
 }
 
-func newRing(endpoints []endpoint) *ring {
-	total := 0
-	for i := range endpoints {
-		total += endpoints[i].points()
-	}
-	prefixBits := uint(bits.Len(uint(total)))
-	r := &ring{
-		endpoints: endpoints,
-		points:    make([]point, total),
-		starts:    make([]uint32, 1<<prefixBits+1),
-		shift:     positionBits - prefixBits,
-	}
-	r.place()
-	return r
-}
-
 // points returns the number of points of the endpoint. A fraction of a point
 // is rounded up for that fraction of all endpoints, chosen by hash.
 func (e *endpoint) points() int {
@@ -70,49 +55,24 @@
 	return max(1, int(e.weight*pointsPerSlot+threshold))
 }
 
-func (e *endpoint) position(i int) uint32 { return position(e.id, i) }
-
 func position(id uint64, i int) uint32 {
 	return uint32(hashPair(id, uint64(i)) >> (64 - positionBits))
 }
 
-// place sorts the points, first by counting those of each prefix.
-func (r *ring) place() {
-	r.eachPoint(func(p point) { r.starts[p.position>>r.shift+1]++ })
-	for i := 1; i < len(r.starts); i++ {
-		r.starts[i] += r.starts[i-1]
-	}
-	next := slices.Clone(r.starts)
-	r.eachPoint(func(p point) {
-		prefix := p.position >> r.shift
-		r.points[next[prefix]] = p
-		next[prefix]++
-	})
-	for i := 1; i < len(r.starts); i++ {
-		group := r.points[r.starts[i-1]:r.starts[i]]
-		if len(group) > 1 {
-			slices.SortFunc(group, r.comparePoints)
+// index fills starts from points.
+func (r *ring) index() {
+	prefixBits := uint(bits.Len(uint(len(r.points))))
+	r.shift = positionBits - prefixBits
+	r.starts = make([]uint32, 1<<prefixBits)
+	next := 0
+	for i, p := range r.points {
+		for prefix := int(p.position() >> r.shift); next <= prefix; next++ {
+			r.starts[next] = uint32(i)
 		}
 	}
-}
-
-func (r *ring) eachPoint(visit func(point)) {
-	for i := range r.endpoints {
-		e := &r.endpoints[i]
-		for j := range e.points() {
-			visit(point{position: e.position(j), endpoint: uint32(i)})
-		}
-	}
-}
-
-func (r *ring) comparePoints(a, b point) int {
-	switch {
-	case a.position < b.position:
-		return -1
-	case a.position > b.position:
-		return 1
+	for ; next < len(r.starts); next++ {
+		r.starts[next] = uint32(len(r.points))
 	}
-	return r.endpoints[a.endpoint].addr.Compare(r.endpoints[b.endpoint].addr)
 }
 
 // pick returns the first and the second choice for a flow; an address is zero
@@ -152,7 +112,7 @@
 // next returns the first point at or after the position, around the ring.
 func (r *ring) next(position uint32) hit {
 	i := int(r.starts[position>>r.shift])
-	for i < len(r.points) && r.points[i].position < position {
+	for i < len(r.points) && r.points[i].position() < position {
 		i++
 	}
 	return r.hit(position, i)
@@ -161,7 +121,7 @@
 // nextOther returns the first point after h that is not the endpoint's. The
 // ring has points of other endpoints.
 func (r *ring) nextOther(h hit, endpoint uint32) hit {
-	position := r.points[h.point].position - h.distance
+	position := r.points[h.point].position() - h.distance
 	for h.endpoint == endpoint {
 		h = r.hit(position, h.point+1)
 	}
@@ -172,6 +132,6 @@
 	if i == len(r.points) {
 		i = 0
 	}
-	p := &r.points[i]
-	return hit{distance: p.position - position, point: i, endpoint: p.endpoint}
+	p := r.points[i]
+	return hit{distance: p.position() - position, point: i, endpoint: p.endpoint()}
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/keyring"
@@ -11,9 +13,10 @@
 // Table decides where packets go. It is built from one configuration and one
 // view of the members, is immutable and safe for concurrent use.
 type Table struct {
+	zone    string // of the process
 	fleet   *config.Fleet
 	members map[netip.AddrPort]member
-	pools   map[uint16]*pool
+	pools   []*pool   // by service ID; nil for services without agents
 	out     [256]bool // by zone ID
 }
 
@@ -22,42 +25,66 @@
 	service uint16
 }
 
+const serviceCount = 1 << 16
+
 // NewTable builds the table of a process in the named zone.
 func NewTable(fleet *config.Fleet, zone string, records []membership.Record) *Table {
-	t := &Table{
+	empty := &Table{zone: zone, pools: make([]*pool, serviceCount)}
+	return empty.Next(fleet, records)
+}
+
+// Next returns the table of another configuration or view of the members. It
+// equals the one that NewTable builds and costs less when little changed.
+func (t *Table) Next(fleet *config.Fleet, records []membership.Record) *Table {
+	next := &Table{
+		zone:    t.zone,
 		fleet:   fleet,
 		members: make(map[netip.AddrPort]member, len(records)),
-		pools:   make(map[uint16]*pool, len(fleet.Services)),
+		pools:   make([]*pool, serviceCount),
 	}
 	for id, z := range fleet.Zones {
-		t.out[id] = z.Out
-	}
-	region := ""
-	if z := fleet.ByZone[zone]; z != nil {
-		region = z.Region
-	}
-	agents := t.group(records)
-	for id, service := range fleet.Services {
-		s := selection{fleet: fleet, region: region, service: service}
-		t.pools[id] = s.pool(agents[id])
+		next.out[id] = z.Out
+	}
+	agents := next.serving(records)
+	selection := newSelection(fleet, t.zone)
+	for len(agents) > 0 {
+		id := agents[0].Service
+		size := sameService(agents)
+		if service := fleet.Services[id]; service != nil {
+			next.pools[id] = selection.pool(t.pools[id], service, agents[:size])
+		}
+		agents = agents[size:]
 	}
-	return t
+	return next
 }
 
-// group notes all members and returns, by service, the agents that have an
-// upstream and whose zones are in.
-func (t *Table) group(records []membership.Record) map[uint16][]*membership.Record {
-	agents := make(map[uint16][]*membership.Record, len(t.fleet.Services))
+// serving notes all members and returns the agents that have an upstream and
+// whose zones are in, by service and address.
+func (t *Table) serving(records []membership.Record) []*membership.Record {
+	var agents []*membership.Record
 	for i := range records {
 		r := &records[i]
 		t.members[r.Addr] = member{role: r.Role, service: r.Service}
 		if t.mayServe(r) {
-			agents[r.Service] = append(agents[r.Service], r)
+			agents = append(agents, r)
 		}
 	}
+	slices.SortFunc(agents, func(a, b *membership.Record) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), a.Addr.Compare(b.Addr))
+	})
 	return agents
 }
 
+// sameService returns the number of agents at the start that have the same
+// service.
+func sameService(agents []*membership.Record) int {
+	n := 1
+	for n < len(agents) && agents[n].Service == agents[0].Service {
+		n++
+	}
+	return n
+}
+
 func (t *Table) mayServe(r *membership.Record) bool {
 	if r.Role != membership.RoleAgent || r.Slots == 0 {
 		return false
@@ -134,9 +161,10 @@
 }
 
 func (t *Table) candidates(service uint16, caller netip.AddrPort, id []byte) Decision {
-	first, second := t.pools[service].pick(flowKey(caller, id))
-	if !first.IsValid() {
+	p := t.pools[service]
+	if p == nil || p.summary.Candidates == 0 {
 		return Decision{Verdict: DropNoUpstream, Service: service}
 	}
+	first, second := p.ring.pick(flowKey(caller, id))
 	return Decision{Verdict: ForwardCandidates, Service: service, Agent: first, Second: second}
 }
