Add the membership core and the fleet node

Cause: processes have to find each other, agree on records and hold the highest configuration without asking the store for each request. Ways weighed: gossip of every heartbeat costs bytes that grow with the fleet; so agents are watched by three entries, and only changes are spread. Record gains Boot, the incarnation at the start, apart from the one that is raised to return from a wrong death.

--- /dev/null
+++ b/internal/fleet/join.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/wire"
+)
+
+const (
+	joinPoll         = 250 * time.Millisecond
+	joinBackoffMin   = 500 * time.Millisecond
+	joinBackoffMax   = 30 * time.Second
+	joinCandidates   = 4
+	snapshotTimeout  = 3 * time.Second
+	storeCallTimeout = 5 * time.Second
+)
+
+var errNoPeer = errors.New("fleet: no peer answered")
+
+// joinLoop looks for peers at the start and whenever none was heard for a
+// while: known entries and seeds first, then the rosters in the store.
+func (n *Node) joinLoop(ctx context.Context, r *rand.Rand) error {
+	n.lonely.Store(true)
+	backoff := joinBackoffMin
+	for ctx.Err() == nil {
+		if !n.lonely.Load() {
+			backoff = joinBackoffMin
+			sleep(ctx, joinPoll)
+			continue
+		}
+		if n.join(ctx, r) {
+			n.metrics.joins.WithLabelValues("found").Inc()
+		} else {
+			n.metrics.joins.WithLabelValues("none").Inc()
+		}
+		sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
+		backoff = min(2*backoff, joinBackoffMax)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (n *Node) join(ctx context.Context, r *rand.Rand) bool {
+	if n.snapshotFromAny(ctx, r, n.knownEntries()) || n.snapshotFromAny(ctx, r, n.opts.Seeds) {
+		return true
+	}
+	if n.opts.Store == nil {
+		return false
+	}
+	if n.snapshotFromAny(ctx, r, n.readRosters(ctx)) {
+		return true
+	}
+	if n.Config().Keys == nil {
+		n.readConfig(ctx)
+	}
+	return false
+}
+
+func (n *Node) knownEntries() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range n.Members() {
+		if m.Role == membership.RoleEntry {
+			out = append(out, m.Control)
+		}
+	}
+	return out
+}
+
+// snapshotFromAny learns from the first of a few candidates that answers.
+func (n *Node) snapshotFromAny(ctx context.Context, r *rand.Rand, candidates []netip.AddrPort) bool {
+	shuffled := slices.Clone(candidates)
+	r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	tried := 0
+	for _, to := range shuffled {
+		if to == n.opts.Self.Control || ctx.Err() != nil {
+			continue
+		}
+		if n.takeSnapshot(ctx, to) == nil {
+			return true
+		}
+		tried++
+		if tried == joinCandidates {
+			return false
+		}
+	}
+	return false
+}
+
+// takeSnapshot reads all pages from one entry.
+func (n *Node) takeSnapshot(ctx context.Context, from netip.AddrPort) error {
+	self := n.Self()
+	params := wire.SnapshotParams{
+		Agent: self.Role == membership.RoleAgent, Address: self.Addr.String(), Service: self.Service,
+	}
+	for {
+		next, err := n.takePage(ctx, from, params)
+		if err != nil || next == 0 {
+			return err
+		}
+		params.Cursor = next
+	}
+}
+
+func (n *Node) takePage(ctx context.Context, from netip.AddrPort, params wire.SnapshotParams) (next int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	var result wire.SnapshotResult
+	if err := n.opts.Call(ctx, from, wire.MethodSnapshot, params, &result); err != nil {
+		return 0, err
+	}
+	page, err := decodePage(result.Page)
+	if err != nil {
+		return 0, err
+	}
+	n.learn(page.Records, page.Objects)
+	return result.Next, nil
+}
+
+func (n *Node) learn(records []membership.Record, objects []config.Object) {
+	n.command(func(now time.Time) { n.core.Learn(now, records, objects) })
+}
+
+// fetch gets objects that were too large for a datagram.
+func (n *Node) fetch(f membership.Fetch) {
+	params := wire.SnapshotParams{}
+	for _, id := range f.IDs {
+		params.Objects = append(params.Objects, wire.ObjectName(id))
+	}
+	if _, err := n.takePage(context.Background(), f.From, params); err != nil {
+		n.metrics.joins.WithLabelValues("fetch-failed").Inc()
+	}
+}
+
+// readRosters returns the control addresses in all rosters.
+func (n *Node) readRosters(ctx context.Context) []netip.AddrPort {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	list, err := n.opts.Store.List(ctx, config.KindRoster)
+	n.noteStore("roster", err)
+	if err != nil {
+		return nil
+	}
+	var out []netip.AddrPort
+	for i := range list.Objects {
+		out = append(out, decodeRoster(&list.Objects[i])...)
+	}
+	return out
+}
+
+// readConfig learns the configuration from the store itself, for the first
+// processes of a fleet.
+func (n *Node) readConfig(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	list, err := n.opts.Store.List(ctx, configKinds...)
+	n.noteStore("config", err)
+	if err == nil {
+		n.learn(nil, list.Objects)
+	}
+}
+
+// noteStore keeps whether the store answers.
+func (n *Node) noteStore(purpose string, err error) {
+	reachable := err == nil
+	if !reachable {
+		n.metrics.storeErrors.WithLabelValues(purpose).Inc()
+	}
+	if n.store.Swap(reachable) != reachable {
+		n.opts.Log.Info("store", "reachable", reachable)
+	}
+}
--- /dev/null
+++ b/internal/fleet/loop.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
+	"crocusnotch/internal/membership"
+)
+
+// loop owns the core: it passes events to it and does what the core asks for.
+func (n *Node) loop(ctx context.Context) error {
+	ticker := time.NewTicker(n.opts.Timing.Gossip)
+	defer ticker.Stop()
+	defer n.end()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.stopped:
+			return nil
+		case m := <-n.inbox:
+			n.core.Receive(time.Now(), m)
+		case f := <-n.commands:
+			f(time.Now())
+		case <-ticker.C:
+			now := time.Now()
+			n.core.Tick(now)
+			n.lonely.Store(n.core.Lonely(now))
+		}
+		n.act(time.Now())
+	}
+}
+
+// act does what the core asks for.
+func (n *Node) act(now time.Time) {
+	out := n.core.Drain()
+	if out.Objects {
+		n.rebuildConfig(now)
+		n.adoptZone(now)
+		rest := n.core.Drain()
+		out.Sends = append(out.Sends, rest.Sends...)
+		out.Members = out.Members || rest.Members
+	}
+	for _, s := range out.Sends {
+		n.sendMessage(s)
+	}
+	for _, f := range out.Fetches {
+		go n.fetch(f)
+	}
+	for _, c := range out.Changes {
+		n.recordChange(now, c)
+	}
+	if out.Members {
+		members := n.core.Members()
+		n.members.Store(&members)
+		self := n.core.Self()
+		n.self.Store(&self)
+	}
+	if out.Members || out.Objects {
+		n.notify()
+	}
+}
+
+// rebuildConfig puts the valid objects in force.
+func (n *Node) rebuildConfig(now time.Time) {
+	valid, problems := n.core.Objects()
+	fleet, more := config.Build(valid)
+	problems = append(problems, more...)
+	before := n.config.Swap(fleet)
+	known := n.problems.Swap(&problems)
+	for _, p := range problems {
+		if !slices.ContainsFunc(*known, func(k config.Problem) bool { return k.ID == p.ID && k.Revision == p.Revision }) {
+			n.metrics.configRefused.Inc()
+			n.events.Add(now, explain.SubjectConfig, p.ID.Name, "object refused", p.Err.Error())
+			n.opts.Log.Warn("configuration object refused", "kind", p.ID.Kind, "name", p.ID.Name, "revision", p.Revision, "err", p.Err)
+		}
+	}
+	n.explainZones(now, before, fleet)
+	if before.Revision != fleet.Revision {
+		n.opts.Log.Info("configuration in force", "revision", fleet.Revision)
+	}
+}
+
+func (n *Node) explainZones(now time.Time, before, after *config.Fleet) {
+	for id, z := range after.Zones {
+		old := before.Zones[id]
+		if old == nil || old.Out == z.Out {
+			continue
+		}
+		what := "in to out"
+		if old.Out {
+			what = "out to in"
+		}
+		n.events.Add(now, explain.SubjectZone, z.Name, what, "set by operators")
+	}
+}
+
+// adoptZone puts the zone's configured ID into the own record.
+func (n *Node) adoptZone(now time.Time) {
+	z := n.config.Load().ByZone[n.opts.Zone]
+	if z == nil || z.ID == n.core.Self().Zone {
+		return
+	}
+	n.core.Update(now, func(r *membership.Record) { r.Zone = z.ID })
+}
+
+func (n *Node) recordChange(now time.Time, c membership.Change) {
+	subject := explain.SubjectProcess
+	if c.Record.Role == membership.RoleAgent {
+		subject = explain.SubjectUpstream
+	}
+	what := c.Before.String() + " to " + c.Record.State.String()
+	n.events.Add(now, subject, c.Record.Addr.String(), what, string(c.Cause))
+	n.metrics.changes.WithLabelValues(c.Record.State.String(), string(c.Cause)).Inc()
+}
+
+func (n *Node) sendMessage(s membership.Send) {
+	keys := n.config.Load().Keys
+	if keys == nil {
+		n.metrics.dropped.WithLabelValues("no-keys-to-send").Inc()
+		return
+	}
+	b, err := membership.Seal(keys, s.Message)
+	if err != nil {
+		n.metrics.dropped.WithLabelValues("too-large").Inc()
+		return
+	}
+	if _, err := n.conn.WriteTo(b, net.UDPAddrFromAddrPort(s.To)); err != nil {
+		n.metrics.dropped.WithLabelValues("send-failed").Inc()
+		return
+	}
+	n.bytesOut.Add(uint64(len(b)))
+	n.metrics.messages.WithLabelValues("out", s.Message.Kind.String()).Inc()
+}
+
+// read passes verified messages to the loop.
+func (n *Node) read(ctx context.Context) error {
+	b := make([]byte, socketBufferLen)
+	for {
+		size, _, err := n.conn.ReadFrom(b)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			n.metrics.dropped.WithLabelValues("read-failed").Inc()
+			continue
+		}
+		n.bytesIn.Add(uint64(size))
+		m := n.openMessage(b[:size])
+		if m == nil {
+			continue
+		}
+		select {
+		case n.inbox <- m:
+		default:
+			n.metrics.dropped.WithLabelValues("inbox-full").Inc()
+		}
+	}
+}
+
+func (n *Node) openMessage(b []byte) *membership.Message {
+	keys := n.config.Load().Keys
+	if keys == nil {
+		n.metrics.dropped.WithLabelValues("no-keys").Inc()
+		return nil
+	}
+	m, err := membership.Open(keys, b)
+	if err != nil {
+		n.metrics.dropped.WithLabelValues(faultLabel(err)).Inc()
+		return nil
+	}
+	n.metrics.messages.WithLabelValues("in", m.Kind.String()).Inc()
+	return m
+}
+
+func faultLabel(err error) string {
+	switch {
+	case errors.Is(err, membership.ErrUnknownKey):
+		return "unknown-key"
+	case errors.Is(err, membership.ErrBadMAC):
+		return "bad-mac"
+	}
+	return "malformed"
+}
--- /dev/null
+++ b/internal/fleet/metrics.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crocusnotch/internal/telemetry"
+)
+
+const subsystem = "fleet"
+
+// metrics are the counters of a node.
+type metrics struct {
+	messages      *prometheus.CounterVec
+	dropped       *prometheus.CounterVec
+	changes       *prometheus.CounterVec
+	storeErrors   *prometheus.CounterVec
+	joins         *prometheus.CounterVec
+	rosterWrites  prometheus.Counter
+	configRefused prometheus.Counter
+}
+
+func newMetrics(r *prometheus.Registry) *metrics {
+	m := &metrics{
+		messages:      counters("messages_total", "Membership messages by direction and kind.", "direction", "kind"),
+		dropped:       counters("dropped_total", "Membership messages dropped by reason.", "reason"),
+		changes:       counters("changes_total", "Changes of members by new state and cause.", "state", "cause"),
+		storeErrors:   counters("store_errors_total", "Failed calls to the store by purpose.", "purpose"),
+		joins:         counters("joins_total", "Searches for peers by result.", "result"),
+		rosterWrites:  counter("roster_writes_total", "Writes of the zone's roster."),
+		configRefused: counter("config_refused_total", "Configuration objects refused."),
+	}
+	if r != nil {
+		r.MustRegister(m.messages, m.dropped, m.changes, m.storeErrors, m.joins, m.rosterWrites, m.configRefused)
+	}
+	return m
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+	}, labels)
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+	})
+}
+
+// export registers the values that are read from the node.
+func (m *metrics) export(r *prometheus.Registry, n *Node) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem,
+			Name: "received_bytes_total", Help: "Bytes of membership messages received.",
+		}, func() float64 { return float64(n.bytesIn.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem,
+			Name: "sent_bytes_total", Help: "Bytes of membership messages sent.",
+		}, func() float64 { return float64(n.bytesOut.Load()) }),
+		gauge("members", "Members that are not final.", func() float64 { return float64(len(n.Members())) }),
+		gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(n.Config().Revision) }),
+	)
+}
+
+func gauge(name, help string, read func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+	}, read)
+}
--- /dev/null
+++ b/internal/fleet/store.go
@@ -0,0 +1,214 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/platform"
+)
+
+const (
+	watchersPerRegion = 2
+	watchWait         = 20 * time.Second
+	watchPoll         = time.Second
+	watchBackoffMin   = 250 * time.Millisecond
+	watchBackoffMax   = 10 * time.Second
+	rosterPeriod      = 15 * time.Second
+	rosterFirst       = 500 * time.Millisecond
+	rosterSize        = 3
+)
+
+var configKinds = []string{config.KindKeys, config.KindZone, config.KindService}
+
+// watchLoop watches the store while this entry is one of its region's
+// watchers.
+func (n *Node) watchLoop(ctx context.Context, r *rand.Rand) error {
+	from := uint64(0)
+	backoff := watchBackoffMin
+	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			from = 0
+			sleep(ctx, watchPoll)
+			continue
+		}
+		next, err := n.watchOnce(ctx, from)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			from, backoff = next, watchBackoffMin
+			continue
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			from = 0
+		}
+		sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
+		backoff = min(2*backoff, watchBackoffMax)
+	}
+	return nil
+}
+
+// watchOnce makes one call to the store: a list at first, then a watch.
+func (n *Node) watchOnce(ctx context.Context, from uint64) (next uint64, err error) {
+	if from == 0 {
+		return n.listConfig(ctx)
+	}
+	got, err := n.opts.Store.Watch(ctx, from, watchWait, configKinds...)
+	n.noteStore("watch", ignoreCompacted(err))
+	if err != nil {
+		return from, err
+	}
+	n.learn(nil, got.Objects)
+	return max(from, got.Revision), nil
+}
+
+func ignoreCompacted(err error) error {
+	if errors.Is(err, platform.ErrCompacted) {
+		return nil
+	}
+	return err
+}
+
+// listConfig learns all objects. A known object that is not listed was deleted
+// at the latest at the revision of the list.
+func (n *Node) listConfig(ctx context.Context) (next uint64, err error) {
+	list, err := n.opts.Store.List(ctx, configKinds...)
+	n.noteStore("list", err)
+	if err != nil {
+		return 0, err
+	}
+	listed := map[config.ID]bool{}
+	for i := range list.Objects {
+		listed[list.Objects[i].ID()] = true
+	}
+	n.command(func(now time.Time) {
+		known, _ := n.core.Objects()
+		for _, o := range known {
+			if !listed[o.ID()] && !o.Deleted && o.Revision < list.Revision {
+				gone := config.Object{Kind: o.Kind, Name: o.Name, Revision: list.Revision, Deleted: true}
+				list.Objects = append(list.Objects, gone)
+			}
+		}
+		n.core.Learn(now, nil, list.Objects)
+	})
+	return list.Revision, nil
+}
+
+// isWatcher reports whether this entry ranks among the first of the live
+// entries of its region. No agreement is needed: two views that differ give
+// some watchers more or less for a while.
+func (n *Node) isWatcher() bool {
+	fleet := n.Config()
+	region := fleet.Region(n.Self().Zone)
+	better := 0
+	own := score(region, n.opts.Self.Addr)
+	for _, m := range n.Members() {
+		if m.Role == membership.RoleEntry && m.State == membership.StateReady &&
+			fleet.Region(m.Zone) == region && score(region, m.Addr) < own {
+			better++
+		}
+	}
+	return better < watchersPerRegion
+}
+
+func score(name string, a netip.AddrPort) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
+
+// rosterLoop keeps the roster of the own zone.
+func (n *Node) rosterLoop(ctx context.Context, r *rand.Rand) error {
+	sleep(ctx, time.Duration(r.Int64N(int64(rosterFirst))))
+	for ctx.Err() == nil {
+		n.rosterTurn(ctx, r)
+		sleep(ctx, rosterPeriod/2+time.Duration(r.Int64N(int64(rosterPeriod))))
+	}
+	return nil
+}
+
+// rosterTurn writes the roster when it differs from the entries that should be
+// in it. Only the entry that ranks first does so. Listed entries that are not
+// known are asked first: they may belong to a part of the fleet that this
+// entry has not met.
+func (n *Node) rosterTurn(ctx context.Context, r *rand.Rand) {
+	if desired := n.desiredRoster(); desired[0] != n.opts.Self.Control {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	defer cancel()
+	id := config.ID{Kind: config.KindRoster, Name: n.opts.Zone}
+	current, err := n.opts.Store.Get(ctx, id)
+	missing := errors.Is(err, platform.ErrNotFound)
+	if err != nil && !missing {
+		n.noteStore("roster", err)
+		return
+	}
+	n.noteStore("roster", nil)
+	listed := decodeRoster(&current)
+	if unknown := n.unknownOf(listed); len(unknown) > 0 && n.snapshotFromAny(ctx, r, unknown) {
+		return
+	}
+	desired := n.desiredRoster()
+	if slices.Equal(listed, desired) || desired[0] != n.opts.Self.Control {
+		return
+	}
+	n.writeRoster(ctx, id, missing, current.Revision, desired)
+}
+
+func (n *Node) writeRoster(ctx context.Context, id config.ID, missing bool, revision uint64, entries []netip.AddrPort) {
+	value, err := config.Encode(config.Roster{Entries: entries})
+	if err != nil {
+		panic(err)
+	}
+	if missing {
+		_, err = n.opts.Store.Create(ctx, id, value)
+	} else {
+		_, err = n.opts.Store.Update(ctx, id, revision, value)
+	}
+	n.metrics.rosterWrites.Inc()
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		n.noteStore("roster", err)
+	}
+}
+
+func (n *Node) unknownOf(listed []netip.AddrPort) []netip.AddrPort {
+	known := n.knownEntries()
+	return slices.DeleteFunc(slices.Clone(listed), func(a netip.AddrPort) bool {
+		return a == n.opts.Self.Control || slices.Contains(known, a)
+	})
+}
+
+// desiredRoster returns the control addresses of the live entries of the own
+// zone that rank first, the own one included.
+func (n *Node) desiredRoster() []netip.AddrPort {
+	self := n.Self()
+	ranked := []membership.Record{self}
+	for _, m := range n.Members() {
+		if m.Role == membership.RoleEntry && m.Zone == self.Zone && m.State == membership.StateReady {
+			ranked = append(ranked, m)
+		}
+	}
+	slices.SortFunc(ranked, func(x, y membership.Record) int {
+		return cmp.Compare(score(n.opts.Zone, x.Addr), score(n.opts.Zone, y.Addr))
+	})
+	var out []netip.AddrPort
+	for _, m := range ranked[:min(len(ranked), rosterSize)] {
+		out = append(out, m.Control)
+	}
+	return out
+}
+
+func decodeRoster(o *config.Object) []netip.AddrPort {
+	roster := config.Roster{}
+	if o.Deleted || config.Decode(o.Value, &roster) != nil {
+		return nil
+	}
+	return roster.Entries
+}
--- /dev/null
+++ b/internal/membership/agent.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of an agent's view of the entries.
+const (
+	watchersPerAgent = 3
+	maxKnownEntries  = 32
+	fewEntries       = 8
+	missedReplies    = 3 // unanswered heartbeats after which a watcher is replaced
+	failedPeriods    = 30
+)
+
+// watcher is an entry that watches this agent.
+type watcher struct {
+	addr    netip.AddrPort
+	epoch   uint64 // incarnation of the entry that seen belongs to
+	seen    uint64 // last change that the entry reported
+	replied time.Time
+}
+
+// agentState is the part of the state that only agents have.
+type agentState struct {
+	follow   string
+	next     time.Time // of the next heartbeat
+	watchers map[netip.AddrPort]*watcher
+	failed   map[netip.AddrPort]time.Time // entries that did not answer, until when
+}
+
+// resync asks all watchers for everything in scope again.
+func (a *agentState) resync() {
+	for _, w := range a.watchers {
+		w.seen = 0
+	}
+}
+
+func (c *Core) tickAgent(now time.Time) {
+	if now.Before(c.agent.next) {
+		return
+	}
+	c.agent.next = c.agent.next.Add(c.timing.Heartbeat)
+	if c.agent.next.Before(now) {
+		c.agent.next = now.Add(c.timing.Heartbeat)
+	}
+	c.dropFailedWatchers(now)
+	c.chooseWatchers(now)
+	c.heartbeatAll(now)
+}
+
+func (c *Core) dropFailedWatchers(now time.Time) {
+	limit := missedReplies * c.timing.Heartbeat
+	for addr, w := range c.agent.watchers {
+		m := c.table.get(addr)
+		gone := m == nil || m.State.Final()
+		if !gone && now.Sub(w.replied) < limit {
+			continue
+		}
+		delete(c.agent.watchers, addr)
+		c.agent.failed[addr] = now.Add(failedPeriods * c.timing.Heartbeat)
+	}
+	for addr, until := range c.agent.failed {
+		if now.After(until) {
+			delete(c.agent.failed, addr)
+		}
+	}
+}
+
+// chooseWatchers fills the set of watchers: entries of the own region first,
+// of different zones where possible, in the order of a rendezvous hash.
+func (c *Core) chooseWatchers(now time.Time) {
+	missing := watchersPerAgent - len(c.agent.watchers)
+	if missing <= 0 {
+		return
+	}
+	zones := map[uint8]bool{}
+	for addr := range c.agent.watchers {
+		if m := c.table.get(addr); m != nil {
+			zones[m.Zone] = true
+		}
+	}
+	ranked := c.rankedEntries()
+	for pass := range 2 {
+		for _, m := range ranked {
+			repeated := pass == 0 && zones[m.Zone]
+			if missing == 0 || repeated || !c.mayWatch(m) {
+				continue
+			}
+			c.agent.watchers[m.Addr] = &watcher{addr: m.Addr, replied: now}
+			zones[m.Zone] = true
+			missing--
+		}
+	}
+}
+
+func (c *Core) mayWatch(m *member) bool {
+	_, failed := c.agent.failed[m.Addr]
+	return !failed && c.agent.watchers[m.Addr] == nil && m.State != StateDraining
+}
+
+func (c *Core) rankedEntries() []*member {
+	region := c.regionOf(c.self.Zone)
+	ranked := slices.Clone(c.table.entries)
+	slices.SortFunc(ranked, func(x, y *member) int {
+		near := cmp.Compare(boolInt(c.regionOf(y.Zone) == region), boolInt(c.regionOf(x.Zone) == region))
+		return cmp.Or(near, cmp.Compare(rendezvous(c.self.Addr, y.Addr), rendezvous(c.self.Addr, x.Addr)))
+	})
+	return ranked
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// rendezvous scores a pair of addresses.
+func rendezvous(subject, candidate netip.AddrPort) uint64 {
+	x, y := subject.Addr().As4(), candidate.Addr().As4()
+	b := [12]byte{
+		x[0], x[1], x[2], x[3], byte(subject.Port() >> 8), byte(subject.Port()),
+		y[0], y[1], y[2], y[3], byte(candidate.Port() >> 8), byte(candidate.Port()),
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// sortedWatchers returns the watchers in the order of their addresses.
+func (c *Core) sortedWatchers() []*watcher {
+	out := make([]*watcher, 0, len(c.agent.watchers))
+	for _, w := range c.agent.watchers {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(x, y *watcher) int { return x.addr.Compare(y.addr) })
+	return out
+}
+
+func (c *Core) heartbeatAll(now time.Time) {
+	for _, w := range c.sortedWatchers() {
+		if m := c.table.get(w.addr); m != nil {
+			c.heartbeat(w, m)
+		}
+	}
+}
+
+func (c *Core) heartbeat(w *watcher, m *member) {
+	c.send(m.Control, &Message{
+		Kind:    KindHeartbeat,
+		Records: []Record{c.self},
+		Epoch:   w.epoch,
+		Seq:     w.seen,
+		Follow:  c.agent.follow,
+		Needy:   len(c.table.entries) < fewEntries,
+	})
+}
+
+// receiveReply takes what changed for this agent.
+func (c *Core) receiveReply(now time.Time, m *Message) {
+	w := c.agent.watchers[m.From]
+	if w == nil {
+		return
+	}
+	w.replied = now
+	if w.epoch != m.Epoch {
+		w.epoch, w.seen = m.Epoch, 0
+	}
+	w.seen = max(w.seen, m.Seq)
+}
--- /dev/null
+++ b/internal/membership/entry.go
@@ -0,0 +1,159 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"crocusnotch/internal/config"
+)
+
+// watchedAgent is an agent that sends heartbeats to this entry.
+type watchedAgent struct {
+	heard  time.Time
+	follow string
+}
+
+// entryState is the part of the state that only entries have.
+type entryState struct {
+	watched   map[netip.AddrPort]*watchedAgent
+	nextPurge time.Time
+}
+
+const (
+	purgePeriod    = time.Minute
+	entriesInReply = 4
+)
+
+func (c *Core) tickEntry(now time.Time) {
+	c.flushRumors(now)
+	c.checkHeartbeats(now)
+	c.tickProbes(now)
+	c.checkSuspects(now)
+	c.tickRepair(now)
+	if now.After(c.entry.nextPurge) {
+		c.entry.nextPurge = now.Add(purgePeriod)
+		c.purge(now)
+	}
+}
+
+// purge forgets final records after the retention.
+func (c *Core) purge(now time.Time) {
+	for i := range c.table.buckets {
+		for _, m := range c.table.buckets[i] {
+			if m.State.Final() && now.Sub(m.changedAt) > c.timing.Retention {
+				c.table.drop(m)
+			}
+		}
+	}
+}
+
+// receiveHeartbeat notes that the agent lives and answers with what changed
+// for it since its last heartbeat.
+func (c *Core) receiveHeartbeat(now time.Time, m *Message) {
+	if c.self.Role != RoleEntry || len(m.Records) != 1 || m.Records[0].Addr != m.From {
+		return
+	}
+	said := m.Records[0]
+	w := c.entry.watched[m.From]
+	if w == nil {
+		w = &watchedAgent{}
+		c.entry.watched[m.From] = w
+	}
+	w.heard, w.follow = now, m.Follow
+	newer := c.mergeRecord(now, &said, CauseReported)
+	if said.State.Final() {
+		delete(c.entry.watched, m.From)
+		return
+	}
+	reply := &Message{Kind: KindReply, Epoch: c.self.Incarnation}
+	if newer != nil {
+		reply.Records = append(reply.Records, *newer)
+	}
+	if m.Needy {
+		for _, e := range c.randomEntries(entriesInReply, netip.AddrPort{}) {
+			reply.Records = append(reply.Records, e.Record)
+		}
+	}
+	seen := m.Seq
+	if m.Epoch != c.self.Incarnation {
+		seen = 0
+	}
+	reply.Seq = c.packChanges(reply, said.Service, m.Follow, seen)
+	c.send(m.Control, reply)
+}
+
+// delta is one change in the scope of an agent.
+type delta struct {
+	seq    uint64
+	record *Record
+	object *config.Object
+}
+
+// packChanges adds what changed after the number seen, oldest first, and
+// returns the number up to which all is told.
+func (c *Core) packChanges(m *Message, service uint16, follow string, seen uint64) uint64 {
+	deltas := c.recordDeltas(service, seen)
+	deltas = append(deltas, c.objectDeltas(service, follow, seen)...)
+	slices.SortFunc(deltas, func(x, y delta) int { return cmp.Compare(x.seq, y.seq) })
+	p := newPacker(m)
+	p.left -= len(m.Records) * recordSize
+	for _, d := range deltas {
+		var ok bool
+		if d.record != nil {
+			ok = p.record(d.record)
+		} else {
+			ok = p.object(d.object)
+		}
+		if !ok {
+			return seen
+		}
+		seen = d.seq
+	}
+	return c.seq
+}
+
+func (c *Core) recordDeltas(service uint16, seen uint64) []delta {
+	g := c.table.services[service]
+	if g == nil || g.seq <= seen || service == 0 {
+		return nil
+	}
+	var out []delta
+	for _, m := range g.members {
+		if m.seq > seen && (seen > 0 || !m.State.Final()) {
+			out = append(out, delta{seq: m.seq, record: &m.Record})
+		}
+	}
+	return out
+}
+
+func (c *Core) objectDeltas(service uint16, follow string, seen uint64) []delta {
+	if c.objects.latest <= seen {
+		return nil
+	}
+	var out []delta
+	for i := range c.objects.buckets {
+		for _, o := range c.objects.buckets[i] {
+			if o.seq > seen && c.inScope(o, service, follow) {
+				out = append(out, delta{seq: o.seq, object: &o.latest})
+			}
+		}
+	}
+	return out
+}
+
+// inScope reports whether an agent needs the object: zones and keys, and its
+// own service; every service while the agent has named none.
+func (c *Core) inScope(o *object, service uint16, follow string) bool {
+	if o.latest.Kind != config.KindService {
+		return true
+	}
+	if follow != "" {
+		return o.latest.Name == follow
+	}
+	return service == 0 || o.service == service
+}
+
+// regionOf returns the region of a zone as configured, empty when unknown.
+func (c *Core) regionOf(zone uint8) string { return c.objects.regions[zone] }
--- /dev/null
+++ b/internal/membership/message.go
@@ -0,0 +1,166 @@
+package membership
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/keyring"
+)
+
+// MaxDatagram bounds a sealed message in bytes.
+const MaxDatagram = 1200
+
+// Layout of a sealed message in bytes.
+const (
+	sealMagic      = 0xC8
+	offGeneration  = 1
+	offMAC         = 2
+	offBody        = 10
+	maxArray       = 256
+	maxMapPairs    = 32
+	maxNestedLevel = 8
+)
+
+// Kind tells what a message is for.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindHeartbeat   Kind = 1 // agent to a watching entry, carries its record
+	KindReply       Kind = 2 // entry to agent, carries what changed for it
+	KindPush        Kind = 3 // changed records and objects
+	KindPing        Kind = 4 // probe, carries the sender's view of the target when it is not alive
+	KindAck         Kind = 5 // answer to a probe, carries the target's record
+	KindPingRequest Kind = 6 // asks an entry to probe Target
+	KindDigest      Kind = 7 // hashes of all buckets of one table
+	KindListing     Kind = 8 // the items of one bucket
+	KindWant        Kind = 9 // asks for items of one bucket
+	kindEnd         Kind = 10
+)
+
+// TableID names a table in messages of repair.
+type TableID uint8
+
+// Tables under repair.
+const (
+	TableMembers TableID = 1
+	TableObjects TableID = 2
+)
+
+// Message is one datagram between processes. The fields in use depend on Kind.
+type Message struct {
+	Kind    Kind            `cbor:"1,keyasint"`
+	From    netip.AddrPort  `cbor:"2,keyasint"` // data address of the sender
+	Control netip.AddrPort  `cbor:"3,keyasint"` // control address of the sender
+	Epoch   uint64          `cbor:"4,keyasint,omitempty"`
+	Seq     uint64          `cbor:"5,keyasint,omitempty"` // probe number, or the sequence number seen by an agent
+	Config  uint64          `cbor:"6,keyasint,omitempty"` // hash of all configuration objects of the sender
+	Follow  string          `cbor:"7,keyasint,omitempty"` // agent: name of its service
+	Records []Record        `cbor:"8,keyasint,omitempty"`
+	Objects []config.Object `cbor:"9,keyasint,omitempty"`
+	Stubs   []Stub          `cbor:"10,keyasint,omitempty"`
+	Target  netip.AddrPort  `cbor:"11,keyasint,omitzero"` // control address
+	Table   TableID         `cbor:"12,keyasint,omitempty"`
+	Bucket  uint8           `cbor:"13,keyasint,omitempty"`
+	Items   []byte          `cbor:"14,keyasint,omitempty"` // packed hashes or items
+	Needy   bool            `cbor:"15,keyasint,omitempty"` // agent: knows few entries
+}
+
+// Stub announces an object too large for a datagram; the receiver fetches it.
+type Stub struct {
+	Kind     string `cbor:"1,keyasint"`
+	Name     string `cbor:"2,keyasint"`
+	Revision uint64 `cbor:"3,keyasint"`
+}
+
+// ID returns the identity of the announced object.
+func (s Stub) ID() config.ID { return config.ID{Kind: s.Kind, Name: s.Name} }
+
+// Faults of sealed messages.
+var (
+	ErrMalformed  = errors.New("membership: malformed message")
+	ErrUnknownKey = errors.New("membership: unknown key generation")
+	ErrBadMAC     = errors.New("membership: wrong MAC")
+	ErrTooLarge   = errors.New("membership: message too large")
+)
+
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNestedLevel,
+		MaxArrayElements: maxArray,
+		MaxMapPairs:      maxMapPairs,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Seal encodes and signs a message. It returns ErrTooLarge above MaxDatagram.
+func Seal(ring *keyring.Ring, m *Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	if len(body)+offBody > MaxDatagram {
+		return nil, ErrTooLarge
+	}
+	b := make([]byte, offBody, offBody+len(body))
+	b[0] = sealMagic
+	b[offGeneration] = ring.Signing()
+	sum, _ := ring.MAC(ring.Signing(), keyring.PurposeControl, body)
+	binary.BigEndian.PutUint64(b[offMAC:], sum)
+	return append(b, body...), nil
+}
+
+// Open verifies and decodes a sealed message.
+func Open(ring *keyring.Ring, b []byte) (*Message, error) {
+	if len(b) <= offBody || len(b) > MaxDatagram || b[0] != sealMagic {
+		return nil, ErrMalformed
+	}
+	sum, ok := ring.MAC(b[offGeneration], keyring.PurposeControl, b[offBody:])
+	if !ok {
+		return nil, ErrUnknownKey
+	}
+	if sum != binary.BigEndian.Uint64(b[offMAC:]) {
+		return nil, ErrBadMAC
+	}
+	m := &Message{}
+	if err := decoder.Unmarshal(b[offBody:], m); err != nil {
+		return nil, ErrMalformed
+	}
+	if !m.valid() {
+		return nil, ErrMalformed
+	}
+	return m, nil
+}
+
+func (m *Message) valid() bool {
+	if m.Kind == 0 || m.Kind >= kindEnd || !isIPv4(m.From) || !isIPv4(m.Control) {
+		return false
+	}
+	for i := range m.Records {
+		if !m.Records[i].Valid() {
+			return false
+		}
+	}
+	return true
+}
+
+// Valid reports whether the record can be merged.
+func (r *Record) Valid() bool {
+	knownRole := r.Role == RoleEntry || r.Role == RoleAgent
+	knownState := r.State >= StateReady && r.State <= StateDead
+	return knownRole && knownState && isIPv4(r.Addr) && isIPv4(r.Control)
+}
+
+func isIPv4(a netip.AddrPort) bool { return a.Addr().Is4() && a.Port() != 0 }
--- /dev/null
+++ b/internal/membership/message_test.go
@@ -0,0 +1,91 @@
+package membership
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/keyring"
+)
+
+func testRing(t testing.TB) *keyring.Ring {
+	ring, err := keyring.New([]keyring.Generation{{ID: 1, Secret: [32]byte{1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func fullMessage() *Message {
+	a := netip.MustParseAddrPort("127.22.1.1:7000")
+	r := Record{Addr: a, Control: a, Role: RoleEntry, State: StateReady, Incarnation: 1764800000000, Version: 4000000000, Boot: 1764800000000, Zone: 255}
+	agent := r
+	agent.Role, agent.Relay, agent.Service, agent.Slots, agent.Connections = RoleAgent, a, 65535, 65535, 4000000000
+	return &Message{Kind: KindPush, From: a, Control: a, Records: []Record{r, agent}}
+}
+
+func TestSealAndOpen(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(t)
+	m := fullMessage()
+	b, err := Seal(ring, m)
+	is.NoErr(err)
+	got, err := Open(ring, b)
+	is.NoErr(err)
+	is.Equal(got, m)
+
+	for i := range b {
+		changed := append([]byte(nil), b...)
+		changed[i] ^= 1
+		_, err := Open(ring, changed)
+		is.True(err != nil) // every byte is protected
+	}
+}
+
+func TestPackedMessagesFitIntoADatagram(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(t)
+	big := fullMessage().Records[1]
+	m := &Message{Kind: KindReply, From: big.Addr, Control: big.Control, Epoch: big.Boot, Seq: 1 << 40}
+	for p := newPacker(m); p.record(&big); {
+	}
+	b, err := Seal(ring, m)
+	is.NoErr(err)
+	is.True(len(m.Records) >= 10)
+
+	m.Records = nil
+	o := config.Object{Kind: config.KindService, Name: strings.Repeat("n", 64), Revision: 1 << 40, Value: make([]byte, maxInlineObject)}
+	p := newPacker(m)
+	is.True(p.object(&o))
+	is.True(!p.object(&o))
+	_, err = Seal(ring, m)
+	is.NoErr(err)
+	is.True(len(b) <= MaxDatagram)
+}
+
+func FuzzOpen(f *testing.F) {
+	ring := testRing(f)
+	b, err := Seal(ring, fullMessage())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b[offBody:])
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if len(body) == 0 || len(body) > MaxDatagram-offBody {
+			return
+		}
+		sum, _ := ring.MAC(1, keyring.PurposeControl, body)
+		sealed := append([]byte{sealMagic, 1, byte(sum >> 56), byte(sum >> 48), byte(sum >> 40), byte(sum >> 32), byte(sum >> 24), byte(sum >> 16), byte(sum >> 8), byte(sum)}, body...)
+		m, err := Open(ring, sealed)
+		if err != nil {
+			return
+		}
+		c := testCore(RoleEntry, 1)
+		c.Receive(testStart, m)
+		c.Drain()
+	})
+}
--- /dev/null
+++ b/internal/membership/objects.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+)
+
+var errKeysDeleted = errors.New("the key object must not be deleted")
+
+// object is one configuration object and its last valid revision.
+type object struct {
+	latest  config.Object
+	valid   *config.Object // nil when no valid revision is known
+	problem error          // why latest is not in force
+	service uint16         // ID of the service, 0 for other kinds
+	seq     uint64         // local number of the last change
+}
+
+// objects holds the highest known revision of every configuration object.
+type objects struct {
+	seq     *uint64
+	buckets [Buckets]map[config.ID]*object
+	hashes  [Buckets]uint32
+	sum     uint64 // hash of all identities and revisions
+	latest  uint64 // number of the last change of any object
+	regions map[uint8]string
+	size    int
+}
+
+func newObjects(seq *uint64) *objects {
+	o := &objects{seq: seq, regions: map[uint8]string{}}
+	for i := range o.buckets {
+		o.buckets[i] = map[config.ID]*object{}
+	}
+	return o
+}
+
+func idKey(id config.ID) uint64 { return xxhash.Sum64String(id.Kind + "/" + id.Name) }
+
+func revisionHash(key, revision uint64) uint64 {
+	v := (key ^ revision*0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93
+	return v ^ v>>29
+}
+
+func (o *objects) get(id config.ID) *object { return o.buckets[bucketOf(idKey(id))][id] }
+
+func (o *objects) revision(id config.ID) uint64 {
+	if known := o.get(id); known != nil {
+		return known.latest.Revision
+	}
+	return 0
+}
+
+// adopt keeps an object of a higher revision. It returns nil when the revision
+// is not higher. An invalid one is kept for others, but the last valid revision
+// stays in force.
+func (o *objects) adopt(in *config.Object) *object {
+	key := idKey(in.ID())
+	b := bucketOf(key)
+	known := o.buckets[b][in.ID()]
+	switch {
+	case known == nil:
+		known = &object{}
+		o.buckets[b][in.ID()] = known
+		o.size++
+	case in.Revision <= known.latest.Revision:
+		return nil
+	default:
+		old := revisionHash(key, known.latest.Revision)
+		o.sum ^= old
+		o.hashes[b] ^= uint32(old >> 32)
+	}
+	sum := revisionHash(key, in.Revision)
+	o.sum ^= sum
+	o.hashes[b] ^= uint32(sum >> 32)
+	*o.seq++
+	known.seq = *o.seq
+	known.latest = *in
+	o.check(known)
+	o.latest = known.seq
+	return known
+}
+
+// check decides whether the latest revision is in force.
+func (o *objects) check(k *object) {
+	k.problem = nil
+	copied := k.latest
+	if k.latest.Deleted {
+		if k.latest.Kind == config.KindKeys {
+			k.problem = errKeysDeleted
+			return
+		}
+		k.valid = &copied
+		return
+	}
+	v, err := config.Parse(&k.latest)
+	if err != nil {
+		k.problem = err
+		return
+	}
+	k.valid = &copied
+	switch v := v.(type) {
+	case *config.Service:
+		k.service = v.ID
+	case *config.Zone:
+		o.regions[v.ID] = v.Region
+	}
+}
+
+// inForce returns the valid objects in the order of their identities, and the
+// problems of those that are not valid.
+func (o *objects) inForce() ([]config.Object, []config.Problem) {
+	var valid []config.Object
+	var problems []config.Problem
+	for i := range o.buckets {
+		for id, k := range o.buckets[i] {
+			if k.valid != nil {
+				valid = append(valid, *k.valid)
+			}
+			if k.problem != nil {
+				problems = append(problems, config.Problem{ID: id, Revision: k.latest.Revision, Err: k.problem})
+			}
+		}
+	}
+	slices.SortFunc(valid, func(x, y config.Object) int {
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Name, y.Name))
+	})
+	slices.SortFunc(problems, func(x, y config.Problem) int {
+		return cmp.Or(cmp.Compare(x.ID.Kind, y.ID.Kind), cmp.Compare(x.ID.Name, y.ID.Name))
+	})
+	return valid, problems
+}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -31,9 +31,9 @@
 // StateSuspect and StateDead, which its watchers set. A record is identified
 // by its data address.
 type Record struct {
-	Addr        netip.AddrPort `cbor:"1,keyasint"` // IPv4 data address, UDP
-	Control     netip.AddrPort `cbor:"2,keyasint"` // UDP membership and TCP jsonrpc2
-	Relay       netip.AddrPort `cbor:"3,keyasint"` // agent: TCP relay address
+	Addr        netip.AddrPort `cbor:"1,keyasint"`          // IPv4 data address, UDP
+	Control     netip.AddrPort `cbor:"2,keyasint"`          // UDP membership and TCP jsonrpc2
+	Relay       netip.AddrPort `cbor:"3,keyasint,omitzero"` // agent: TCP relay address
 	Role        Role           `cbor:"4,keyasint"`
 	Service     uint16         `cbor:"5,keyasint"` // agent only
 	Zone        uint8          `cbor:"6,keyasint"`
@@ -42,6 +42,7 @@
 	Version     uint32         `cbor:"9,keyasint"`
 	Slots       uint16         `cbor:"10,keyasint"` // agent: requests its upstream runs at once
 	Connections uint32         `cbor:"11,keyasint"` // agent: flows that its upstream bears
+	Boot        uint64         `cbor:"12,keyasint"` // Incarnation at the start; owner tokens carry its low bits
 }
 
 // Supersedes reports whether r replaces old, a record of the same address.
--- /dev/null
+++ b/internal/membership/snapshot.go
@@ -0,0 +1,98 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"crocusnotch/internal/config"
+)
+
+// PageBuckets is the number of buckets in one page of a snapshot.
+const PageBuckets = 16
+
+// SnapshotQuery selects the part of the tables that a new process needs.
+type SnapshotQuery struct {
+	Page    int
+	Agent   bool
+	Address netip.AddrPort // data address of the agent
+	Service uint16
+	Follow  string
+	Objects []config.ID
+}
+
+// Snapshot returns one page of what is known and the number of the next page,
+// 0 after the last.
+func (c *Core) Snapshot(q SnapshotQuery) (records []Record, objects []config.Object, next int) {
+	switch {
+	case len(q.Objects) > 0:
+		return nil, c.snapshotObjects(q.Objects), 0
+	case q.Agent:
+		return c.snapshotForAgent(q)
+	}
+	return c.snapshotPage(q.Page)
+}
+
+func (c *Core) snapshotObjects(ids []config.ID) []config.Object {
+	var out []config.Object
+	for _, id := range ids {
+		if o := c.objects.get(id); o != nil {
+			out = append(out, o.latest)
+		}
+	}
+	return out
+}
+
+func (c *Core) snapshotPage(page int) (records []Record, objects []config.Object, next int) {
+	first := page * PageBuckets
+	if page < 0 || first >= Buckets {
+		return nil, nil, 0
+	}
+	if page == 0 {
+		records = append(records, c.self)
+	}
+	for b := first; b < first+PageBuckets; b++ {
+		for _, m := range c.table.buckets[b] {
+			records = append(records, m.Record)
+		}
+		for _, o := range c.objects.buckets[b] {
+			objects = append(objects, o.latest)
+		}
+	}
+	if first+PageBuckets < Buckets {
+		next = page + 1
+	}
+	return records, objects, next
+}
+
+// snapshotForAgent returns the entries that rank first for the agent, the live
+// agents of its service and the objects in its scope.
+func (c *Core) snapshotForAgent(q SnapshotQuery) (records []Record, objects []config.Object, next int) {
+	if !isIPv4(q.Address) {
+		return nil, nil, 0
+	}
+	entries := make([]Record, 0, len(c.table.entries)+1)
+	entries = append(entries, c.self)
+	for _, m := range c.table.entries {
+		entries = append(entries, m.Record)
+	}
+	slices.SortFunc(entries, func(x, y Record) int {
+		return cmp.Compare(rendezvous(q.Address, x.Addr), rendezvous(q.Address, y.Addr))
+	})
+	records = entries[:min(len(entries), maxKnownEntries/2)]
+	if g := c.table.services[q.Service]; g != nil && q.Service != 0 {
+		for _, m := range g.members {
+			if !m.State.Final() {
+				records = append(records, m.Record)
+			}
+		}
+	}
+	for i := range c.objects.buckets {
+		for _, o := range c.objects.buckets[i] {
+			if c.inScope(o, q.Service, q.Follow) {
+				objects = append(objects, o.latest)
+			}
+		}
+	}
+	return records, objects, 0
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of buckets into which tables are divided for repair.
+const Buckets = 256
+
+// member is a record with what this process keeps about it.
+type member struct {
+	Record
+	seq       uint64    // local number of the last change
+	changedAt time.Time // local time of the last change
+	live      int       // position in the list of its role, -1 when not listed
+}
+
+// group are the agents of one service.
+type group struct {
+	members map[netip.AddrPort]*member
+	seq     uint64 // highest number of a change among the members
+}
+
+// table holds the records of all known processes, the own one excepted.
+type table struct {
+	seq      *uint64
+	buckets  [Buckets]map[netip.AddrPort]*member
+	hashes   [Buckets]uint32
+	entries  []*member // members that are not final
+	agents   []*member
+	suspects map[netip.AddrPort]*member
+	services map[uint16]*group
+	size     int
+}
+
+func newTable(seq *uint64) *table {
+	t := &table{seq: seq, suspects: map[netip.AddrPort]*member{}, services: map[uint16]*group{}}
+	for i := range t.buckets {
+		t.buckets[i] = map[netip.AddrPort]*member{}
+	}
+	return t
+}
+
+// addrKey is the 64-bit key of a member in listings; its low byte is the
+// bucket.
+func addrKey(a netip.AddrPort) uint64 {
+	ip := a.Addr().As4()
+	b := [6]byte{ip[0], ip[1], ip[2], ip[3], byte(a.Port() >> 8), byte(a.Port())}
+	return xxhash.Sum64(b[:])
+}
+
+func bucketOf(key uint64) uint8 { return uint8(key) }
+
+// stateHash condenses what differs between versions of a record.
+func (r *Record) stateHash() uint32 {
+	v := r.Incarnation*0x9E3779B97F4A7C15 ^ uint64(r.Version)<<8 ^ uint64(r.State)
+	v ^= addrKey(r.Addr)
+	v *= 0xD6E8FEB86659FD93
+	return uint32(v >> 32)
+}
+
+func (t *table) get(a netip.AddrPort) *member {
+	return t.buckets[bucketOf(addrKey(a))][a]
+}
+
+// put stores a record that supersedes the known one, if any.
+func (t *table) put(now time.Time, r *Record) *member {
+	b := bucketOf(addrKey(r.Addr))
+	m := t.buckets[b][r.Addr]
+	if m == nil {
+		m = &member{live: -1}
+		t.buckets[b][r.Addr] = m
+		t.size++
+	} else {
+		t.unindex(m)
+	}
+	*t.seq++
+	m.Record = *r
+	m.seq = *t.seq
+	m.changedAt = now
+	t.index(m)
+	return m
+}
+
+// drop forgets a member.
+func (t *table) drop(m *member) {
+	t.unindex(m)
+	delete(t.buckets[bucketOf(addrKey(m.Addr))], m.Addr)
+	t.size--
+}
+
+func (t *table) index(m *member) {
+	if m.Role == RoleAgent {
+		t.joinGroup(m)
+	}
+	if m.State.Final() {
+		return
+	}
+	t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
+	list := t.listOf(m.Role)
+	m.live = len(*list)
+	*list = append(*list, m)
+	if m.State == StateSuspect {
+		t.suspects[m.Addr] = m
+	}
+}
+
+func (t *table) unindex(m *member) {
+	if m.Role == RoleAgent {
+		delete(t.services[m.Service].members, m.Addr)
+	}
+	if m.live < 0 {
+		return
+	}
+	t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
+	list := t.listOf(m.Role)
+	last := (*list)[len(*list)-1]
+	(*list)[m.live] = last
+	last.live = m.live
+	*list = (*list)[:len(*list)-1]
+	m.live = -1
+	delete(t.suspects, m.Addr)
+}
+
+func (t *table) joinGroup(m *member) {
+	g := t.services[m.Service]
+	if g == nil {
+		g = &group{members: map[netip.AddrPort]*member{}}
+		t.services[m.Service] = g
+	}
+	g.members[m.Addr] = m
+	g.seq = max(g.seq, m.seq)
+}
+
+func (t *table) listOf(r Role) *[]*member {
+	if r == RoleEntry {
+		return &t.entries
+	}
+	return &t.agents
+}
+
+// alive returns the number of members that are not final.
+func (t *table) alive() int { return len(t.entries) + len(t.agents) }
