Move datagrams in batches and add crocus-entry

Ruled out: the batches of golang.org/x/net, which allocate an address for each datagram that is read.

The sockets are now outside the poller and move up to 32 datagrams a call.

The command reads its settings, reports every fault with the path of its field before a socket opens, and stops gracefully on SIGTERM. The entry makes its own fleet node unless it is given one.

--- /dev/null
+++ b/cmd/crocus-entry/main_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const mainEnv = "CROCUS_TEST_MAIN"
+
+// TestMain turns the test binary into crocus-entry when a test starts it so.
+func TestMain(m *testing.M) {
+	if os.Getenv(mainEnv) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runMain(t *testing.T, settings string) (output string, code int) {
+	path := filepath.Join(t.TempDir(), "entry.json")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "--settings", path)
+	cmd.Env = append(os.Environ(), mainEnv+"=1")
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func TestInvalidSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		settings string
+		want     []string // start of each line
+	}{
+		"no JSON":     {`{`, []string{"unexpected EOF"}},
+		"unknown key": {`{"zones":"a"}`, []string{"zones: unknown key"}},
+		"wrong type":  {`{"zone":5}`, []string{"zone: cannot read number"}},
+		"bad address": {`{"data":"here"}`, []string{"data: "}},
+		"missing fields": {
+			`{"zone":"a","store":"http://127.0.0.1:1","data":"127.21.0.1:7001","fabric":"127.21.0.1:0"}`,
+			[]string{
+				"control: is required", "metrics: is required", "tls.cert: is required", "tls.key: is required",
+				"tls.ca: is required", "fabric: must be an IP address and port", "fabricReturn: is required",
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out, code := runMain(t, c.settings)
+			is.Equal(code, exitInvalid)
+			lines := strings.Split(strings.TrimSpace(out), "\n")
+			is.Equal(len(lines), len(c.want)) // lines of output
+			for i, want := range c.want {
+				if !strings.HasPrefix(lines[i], want) {
+					t.Errorf("line %q, want %q", lines[i], want)
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,9 +41,9 @@
 	TLS      *wire.MutualTLS
 	// Callers is used by agents only.
 	Callers *tls.Certificate
-	// Fleet is the fleet node.
+	// Fleet is the fleet node; nil means one by the settings.
 	Fleet Fleet
-	// Listen opens the sockets; nil means UDP.
+	// Listen opens the sockets; nil means UDP sockets of the system.
 	Listen func(netip.AddrPort) (PacketConn, error)
 }
 
@@ -52,33 +52,49 @@
 	settings config.Entry
 	log      *slog.Logger
 	fleet    Fleet
-	fabric   PacketConn
-	data     PacketConn
+	fabric   socket
+	data     socket
 	counters *counters
 	table    atomic.Pointer[routing.Table]
 	stop     chan struct{}
 	stopOnce sync.Once
 }
 
+func (d *Deps) listen(a netip.AddrPort) (socket, error) {
+	if d.Listen == nil {
+		return listenUDP(a)
+	}
+	c, err := d.Listen(a)
+	return singles{c}, err
+}
+
 // New opens the sockets of an entry.
 func New(s config.Entry, d Deps) (*Entry, error) {
-	listen := d.Listen
-	if listen == nil {
-		listen = listenUDP
+	if s.Fabric.Addr().Unmap().Is4() != s.FabricReturn.Addr().Unmap().Is4() {
+		return nil, errors.New("fabric and fabricReturn must both be IPv4 or both IPv6")
+	}
+	fabric, err := d.listen(s.Fabric)
+	if err != nil {
+		return nil, errors.Wrap(err, "fabric socket")
 	}
-	fabric, err := listen(s.Fabric)
+	data, err := d.listen(s.Data)
 	if err != nil {
-		return nil, errors.Wrap(err, "open fabric socket")
+		fabric.close()
+		return nil, errors.Wrap(err, "data socket")
+	}
+	node := d.Fleet
+	if node == nil {
+		node, err = newNode(&s, &d)
 	}
-	data, err := listen(s.Data)
 	if err != nil {
-		_ = fabric.Close()
-		return nil, errors.Wrap(err, "open data socket")
+		fabric.close()
+		data.close()
+		return nil, errors.Wrap(err, "fleet node")
 	}
 	e := &Entry{
 		settings: s,
 		log:      d.Log,
-		fleet:    d.Fleet,
+		fleet:    node,
 		fabric:   fabric,
 		data:     data,
 		counters: newCounters(d.Registry),
@@ -111,10 +127,13 @@
 	g.Go(func() error {
 		stopped = e.awaitStop(ctx)
 		cancel()
-		e.close()
+		e.fabric.interrupt()
+		e.data.interrupt()
 		return nil
 	})
 	err := g.Wait()
+	e.fabric.close()
+	e.data.close()
 	if stopped {
 		return nil
 	}
@@ -153,11 +172,6 @@
 	}
 }
 
-func (e *Entry) close() {
-	_ = e.fabric.Close()
-	_ = e.data.Close()
-}
-
 // Health reports whether the entry can forward new flows.
 func (e *Entry) Health() (ok bool, reason string) {
 	select {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -222,3 +222,27 @@
 	})
 	return append(d, packet...)
 }
+
+// newMessage returns a message with room in front.
+func newMessage(headroom int) *testMessage {
+	m := &testMessage{headroom: headroom}
+	m.buffer = make([]byte, headroom+datagramSize)
+	return m
+}
+
+type testMessage struct {
+	message
+	headroom int
+}
+
+// fromCallerTo is the PROXY header of the test's caller.
+var fromCallerTo = fromCaller(nil)
+
+// pass gives a datagram, header and packet, to a handler.
+func (m *testMessage) pass(header, packet []byte, handle func(*message)) {
+	m.size = copy(m.buffer[m.headroom:], header)
+	m.size += copy(m.buffer[m.headroom+m.size:], packet)
+	m.out = nil
+	m.to = netip.AddrPort{}
+	handle(&m.message)
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -5,7 +5,9 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
+	"crocusnotch/internal/fleet"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/platform"
 	"crocusnotch/internal/wire"
 )
 
@@ -29,3 +31,21 @@
 	// Leave announces that the process has left.
 	Leave(ctx context.Context)
 }
+
+// newNode returns the fleet node that the settings describe.
+func newNode(s *config.Entry, d *Deps) (Fleet, error) {
+	return fleet.New(fleet.Options{
+		Self: membership.Record{
+			Addr:    s.Data,
+			Control: s.Control,
+			Role:    membership.RoleEntry,
+			State:   membership.StateReady,
+		},
+		Zone:     s.Zone,
+		Seeds:    s.Seeds,
+		Store:    platform.New(s.Store, platform.Options{Registry: d.Registry}),
+		TLS:      d.TLS,
+		Log:      d.Log,
+		Registry: d.Registry,
+	})
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -15,13 +15,15 @@
 func newForwarder(e *Entry) *forwarder { return &forwarder{entry: e} }
 
 func (f *forwarder) run() error {
-	return receive(f.entry.fabric, wire.HeaderSize, f.entry.counters.readFailed, f.handle)
+	e := f.entry
+	return pump(e.fabric, e.data, newBatch(wire.HeaderSize), e.counters, f.handle)
 }
 
-// handle forwards the datagram of the given size that lies behind the space
+// handle decides on a datagram from the fabric, which lies behind the space
 // for a wire header.
-func (f *forwarder) handle(buffer []byte, size int) {
-	datagram := buffer[wire.HeaderSize : wire.HeaderSize+size]
+func (f *forwarder) handle(m *message) {
+	end := wire.HeaderSize + m.size
+	datagram := m.buffer[wire.HeaderSize:end]
 	proxied, ok := parseProxy(datagram)
 	if !ok {
 		f.entry.counters.packet(routing.DropMalformed)
@@ -43,9 +45,7 @@
 	}
 	// The wire header takes the place in front of the packet, where the PROXY
 	// header was.
-	out := buffer[proxied.size : wire.HeaderSize+size]
-	wire.PutHeader(out, table.Keys(), &f.header)
-	if _, err := f.entry.data.WriteToUDPAddrPort(out, d.Agent); err != nil {
-		f.entry.counters.sendFailed()
-	}
+	m.out = m.buffer[proxied.size:end]
+	m.to = d.Agent
+	wire.PutHeader(m.out, table.Keys(), &f.header)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -60,7 +60,11 @@
 
 func (c *counters) readFailed() { c.readFaults.Add(1) }
 
-func (c *counters) sendFailed() { c.sendFaults.Add(1) }
+func (c *counters) sendFailed(n int) {
+	if n > 0 {
+		c.sendFaults.Add(uint64(n))
+	}
+}
 
 // fill adds the counters that are not zero to a status answer.
 func (c *counters) fill(s *wire.Status) {
--- a/internal/entry/proxy_test.go
+++ b/internal/entry/proxy_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net"
 	"net/netip"
 	"testing"
@@ -12,11 +13,6 @@
 	"crocusnotch/internal/wire"
 )
 
-// discard is a socket that takes everything.
-type discard struct{ PacketConn }
-
-func (discard) WriteToUDPAddrPort(b []byte, _ netip.AddrPort) (int, error) { return len(b), nil }
-
 func libraryHeader(source, destination netip.AddrPort) *proxyproto.Header {
 	return proxyproto.HeaderProxyFromAddrs(2, net.UDPAddrFromAddrPort(source), net.UDPAddrFromAddrPort(destination))
 }
@@ -99,19 +95,15 @@
 	f.Add(libraryDatagram(h, initial()))
 	b := newBench()
 	b.adopt()
-	out := &lastSent{}
-	b.entry.data = out
 	forwarder := newForwarder(b.entry)
-	buffer := make([]byte, wire.HeaderSize+datagramSize)
+	m := newMessage(wire.HeaderSize)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
-		*out = lastSent{}
-		n := copy(buffer[wire.HeaderSize:], datagram)
-		forwarder.handle(buffer, n)
-		if out.to.IsValid() && out.to != agentAddr {
-			t.Fatalf("sent to %s", out.to)
+		m.pass(nil, datagram, forwarder.handle)
+		if m.out != nil && m.to != agentAddr {
+			t.Fatalf("sent to %s", m.to)
 		}
-		if out.to.IsValid() {
-			h, verdict := wire.ParseHeader(testKeys(), out.data)
+		if m.out != nil {
+			h, verdict := wire.ParseHeader(testKeys(), m.out)
 			if verdict != wire.HeaderValid || h.Service != testService || h.Destination != serviceAddr {
 				t.Fatalf("sent %+v, verdict %d", h, verdict)
 			}
@@ -125,22 +117,19 @@
 	f.Add(fromAgent(testKeys(), wire.KindToAgent, initial()), false)
 	b := newBench()
 	b.adopt()
-	out := &lastSent{}
-	b.entry.fabric = out
 	r := newRelay(b.entry)
-	buffer := make([]byte, datagramSize)
+	m := newMessage(0)
 	f.Fuzz(func(t *testing.T, datagram []byte, sign bool) {
-		*out = lastSent{}
-		n := copy(buffer, datagram)
-		if sign && n > wire.HeaderSize {
+		if sign && len(datagram) > wire.HeaderSize {
+			datagram = bytes.Clone(datagram)
 			h := wire.Header{Kind: wire.Kind(datagram[1]), Caller: callerAddr, Destination: serviceAddr}
-			wire.PutHeader(buffer, testKeys(), &h)
+			wire.PutHeader(datagram, testKeys(), &h)
 		}
-		r.handle(buffer, n)
-		if out.to.IsValid() && out.to != returnAddr {
-			t.Fatalf("sent to %s", out.to)
+		m.pass(nil, datagram, r.handle)
+		if m.out != nil && m.to != returnAddr {
+			t.Fatalf("sent to %s", m.to)
 		}
-		if out.to.IsValid() && !sign {
+		if m.out != nil && !sign {
 			if _, verdict := wire.ParseHeader(testKeys(), datagram); verdict != wire.HeaderValid {
 				t.Fatalf("relayed an answer with verdict %d", verdict)
 			}
@@ -148,17 +137,6 @@
 	})
 }
 
-type lastSent struct {
-	PacketConn
-	data []byte
-	to   netip.AddrPort
-}
-
-func (l *lastSent) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
-	l.data, l.to = b, to
-	return len(b), nil
-}
-
 func BenchmarkParseProxy(b *testing.B) {
 	datagram := fromCaller(initial())
 	b.Run("own", func(b *testing.B) {
@@ -193,35 +171,30 @@
 }
 
 // BenchmarkHandle measures a packet's way through the entry without the
-// system's sockets.
+// system's sockets, with a copy of the packet into the buffer.
 func BenchmarkHandle(b *testing.B) {
 	bench := newBench()
 	bench.adopt()
-	bench.entry.data = discard{}
-	bench.entry.fabric = discard{}
-	buffer := make([]byte, wire.HeaderSize+datagramSize)
 	for name, packet := range map[string][]byte{
 		routing.ForwardOwner.String():      established(testKeys(), testZone),
 		routing.ForwardCandidates.String(): initial(),
 	} {
 		b.Run(name, func(b *testing.B) {
-			datagram := fromCaller(packet)
 			f := newForwarder(bench.entry)
+			m := newMessage(wire.HeaderSize)
 			b.ReportAllocs()
 			for b.Loop() {
-				copy(buffer[wire.HeaderSize:], datagram[:proxySize4])
-				copy(buffer[wire.HeaderSize+proxySize4:], datagram[proxySize4:])
-				f.handle(buffer, len(datagram))
+				m.pass(fromCallerTo, packet, f.handle)
 			}
 		})
 	}
 	b.Run("answer", func(b *testing.B) {
-		datagram := fromAgent(testKeys(), wire.KindToCaller, initial())
+		answer := fromAgent(testKeys(), wire.KindToCaller, initial())
 		r := newRelay(bench.entry)
+		m := newMessage(0)
 		b.ReportAllocs()
 		for b.Loop() {
-			copy(buffer, datagram[:wire.HeaderSize])
-			r.handle(buffer, len(datagram))
+			m.pass(nil, answer, r.handle)
 		}
 	})
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -37,17 +37,16 @@
 func newRelay(e *Entry) *relay { return &relay{entry: e} }
 
 func (r *relay) run() error {
-	return receive(r.entry.data, 0, r.entry.counters.readFailed, r.handle)
+	e := r.entry
+	return pump(e.data, e.fabric, newBatch(0), e.counters, r.handle)
 }
 
-func (r *relay) handle(buffer []byte, size int) {
-	out, verdict := r.answer(buffer, size)
+func (r *relay) handle(m *message) {
+	out, verdict := r.answer(m.buffer, m.size)
 	r.entry.counters.answer(verdict)
-	if verdict != answerRelayed {
-		return
-	}
-	if _, err := r.entry.fabric.WriteToUDPAddrPort(out, r.entry.settings.FabricReturn); err != nil {
-		r.entry.counters.sendFailed()
+	if verdict == answerRelayed {
+		m.out = out
+		m.to = r.entry.settings.FabricReturn
 	}
 }
 
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -9,12 +9,12 @@
 	"crocusnotch/internal/routing"
 )
 
-// reporter logs and records what changed from one table to the next.
+// reporter logs what changed from one table to the next and records what the
+// fleet node does not know of.
 type reporter struct {
 	log      *slog.Logger
 	events   *explain.Ring
-	revision uint64
-	out      map[string]bool            // zones by name
+	out      map[uint8]bool             // zones that are out, by ID
 	services map[uint16]routing.Summary // by service ID
 }
 
@@ -22,39 +22,22 @@
 	return &reporter{
 		log:      log,
 		events:   events,
-		out:      map[string]bool{},
+		out:      map[uint8]bool{},
 		services: map[uint16]routing.Summary{},
 	}
 }
 
 func (r *reporter) report(now time.Time, t *routing.Table) {
-	r.reportConfig(now, t)
-	r.reportZones(now, t)
+	r.reportZones(t)
 	r.reportServices(now, t)
 }
 
-func (r *reporter) reportConfig(now time.Time, t *routing.Table) {
-	revision := t.Fleet().Revision
-	if revision == r.revision {
-		return
-	}
-	what := fmt.Sprintf("revision %d to %d", r.revision, revision)
-	r.change(now, explain.SubjectConfig, "fleet", what, "adopted")
-	r.revision = revision
-}
-
-func (r *reporter) reportZones(now time.Time, t *routing.Table) {
-	for _, z := range t.Fleet().Zones {
-		if z.Out == r.out[z.Name] {
-			continue
-		}
-		what := "in"
-		if z.Out {
-			what = "out"
+func (r *reporter) reportZones(t *routing.Table) {
+	for id, z := range t.Fleet().Zones {
+		if z.Out != r.out[id] {
+			r.log.Info("zone changed", "zone", z.Name, "out", z.Out)
+			r.out[id] = z.Out
 		}
-		why := fmt.Sprintf("configuration revision %d", r.revision)
-		r.change(now, explain.SubjectZone, z.Name, what, why)
-		r.out[z.Name] = z.Out
 	}
 }
 
@@ -67,21 +50,18 @@
 		r.services[id] = after
 		why := fmt.Sprintf("%d ready, %d suspected", after.Ready, after.Suspected)
 		if (before.Candidates == 0) != (after.Candidates == 0) {
-			what := fmt.Sprintf("candidates %d to %d", before.Candidates, after.Candidates)
-			r.change(now, explain.SubjectService, s.Name, what, why)
+			r.change(now, s.Name, fmt.Sprintf("candidates %d to %d", before.Candidates, after.Candidates), why)
 		}
 		if before.SuspicionIgnored != after.SuspicionIgnored {
-			what := fmt.Sprintf("suspicion ignored %t", after.SuspicionIgnored)
-			r.change(now, explain.SubjectService, s.Name, what, why)
+			r.change(now, s.Name, fmt.Sprintf("suspicion ignored %t", after.SuspicionIgnored), why)
 		}
 		if before.OtherRegions != after.OtherRegions {
-			what := fmt.Sprintf("other regions used %t", after.OtherRegions)
-			r.change(now, explain.SubjectService, s.Name, what, why)
+			r.change(now, s.Name, fmt.Sprintf("other regions used %t", after.OtherRegions), why)
 		}
 	}
 }
 
-func (r *reporter) change(now time.Time, subject explain.Subject, name, what, why string) {
-	r.events.Add(now, subject, name, what, why)
-	r.log.Info("change", "subject", subject, "name", name, "what", what, "why", why)
+func (r *reporter) change(now time.Time, service, what, why string) {
+	r.events.Add(now, explain.SubjectService, service, what, why)
+	r.log.Info("service changed", "service", service, "what", what, "why", why)
 }
--- a/internal/entry/socket.go
+++ b/internal/entry/socket.go
@@ -8,44 +8,111 @@
 )
 
 const (
-	// socketBuffer is the size asked for each socket buffer, in bytes.
-	socketBuffer = 4 << 20
+	// batchSize is the number of datagrams taken from a socket at once.
+	batchSize = 32
 	// datagramSize is the size of the largest datagram, in bytes.
 	datagramSize = 1 << 16
 )
 
-// PacketConn is a UDP socket as the entry uses it.
+// PacketConn is a UDP socket as the entry needs it at least.
 type PacketConn interface {
 	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
 	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
 	Close() error
 }
 
-func listenUDP(a netip.AddrPort) (PacketConn, error) {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+// socket takes and sends batches of datagrams. The functions that it returns
+// belong to one goroutine and one batch each.
+type socket interface {
+	// receiver returns a function that waits for datagrams, puts them into the
+	// batch and returns their number. After interrupt it returns
+	// net.ErrClosed.
+	receiver(b *batch) func() (int, error)
+	// sender returns a function that sends what the first n messages of the
+	// batch have to send, and returns how many the system did not take.
+	sender(b *batch) func(n int) (failed int)
+	// interrupt ends all receivers.
+	interrupt()
+	// close frees the socket; no function of it may be in use.
+	close()
+}
+
+// message is one datagram on its way through the entry.
+type message struct {
+	buffer []byte // room for headers, then what was received
+	size   int    // bytes received
+	out    []byte // part of buffer to send; nil when dropped
+	to     netip.AddrPort
+}
+
+// batch holds the datagrams that are handled together.
+type batch struct {
+	headroom int
+	messages [batchSize]message
+}
+
+// newBatch returns a batch whose messages have room in front of what is
+// received.
+func newBatch(headroom int) *batch {
+	b := &batch{headroom: headroom}
+	for i := range b.messages {
+		b.messages[i].buffer = make([]byte, headroom+datagramSize)
 	}
-	// The system may grant less; that is no error.
-	_ = c.SetReadBuffer(socketBuffer)
-	_ = c.SetWriteBuffer(socketBuffer)
-	return c, nil
+	return b
 }
 
-// receive calls handle for each datagram, read behind the given headroom of
-// the buffer, until the socket is closed. Other errors of a datagram socket
-// concern one datagram and are counted.
-func receive(c PacketConn, headroom int, failed func(), handle func(buffer []byte, size int)) error {
-	buffer := make([]byte, headroom+datagramSize)
+// pump moves datagrams from one socket to the other as handle decides, until
+// the first one is interrupted. Other errors of a datagram socket concern
+// single datagrams and are counted.
+func pump(in, out socket, b *batch, c *counters, handle func(*message)) error {
+	receive := in.receiver(b)
+	send := out.sender(b)
 	for {
-		n, _, err := c.ReadFromUDPAddrPort(buffer[headroom:])
+		n, err := receive()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			failed()
+			c.readFailed()
 			continue
 		}
-		handle(buffer, n)
+		for i := range b.messages[:n] {
+			m := &b.messages[i]
+			m.out = nil
+			handle(m)
+		}
+		c.sendFailed(send(n))
 	}
 }
+
+// singles is a socket that moves one datagram at a time.
+type singles struct{ conn PacketConn }
+
+func (s singles) receiver(b *batch) func() (int, error) {
+	m := &b.messages[0]
+	return func() (int, error) {
+		n, _, err := s.conn.ReadFromUDPAddrPort(m.buffer[b.headroom:])
+		m.size = n
+		return 1, err
+	}
+}
+
+func (s singles) sender(b *batch) func(n int) int {
+	return func(n int) int {
+		failed := 0
+		for i := range b.messages[:n] {
+			m := &b.messages[i]
+			if m.out == nil {
+				continue
+			}
+			if _, err := s.conn.WriteToUDPAddrPort(m.out, m.to); err != nil {
+				failed++
+			}
+		}
+		return failed
+	}
+}
+
+func (s singles) interrupt() { _ = s.conn.Close() }
+
+func (s singles) close() { _ = s.conn.Close() }
--- a/internal/entry/throughput_test.go
+++ b/internal/entry/throughput_test.go
@@ -29,6 +29,7 @@
 	throughputRounds = 4
 	throughputPeriod = 1500 * time.Millisecond
 	senders          = 3
+	sinks            = 2
 )
 
 // TestMain turns the test binary into a forwarder when the benchmark of
@@ -60,8 +61,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// runBare forwards every datagram unchanged, with the entry's sockets and
-// number of goroutines.
+// runBare forwards every datagram unchanged, as plain Go code does, with the
+// entry's number of goroutines.
 func runBare() {
 	in := mustListen(fabricAddr)
 	out := mustListen(dataAddr)
@@ -91,11 +92,14 @@
 	_ = e.Run(context.Background())
 }
 
-func mustListen(a netip.AddrPort) PacketConn {
-	c, err := listenUDP(a)
+func mustListen(a netip.AddrPort) *net.UDPConn {
+	const buffer = 4 << 20
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
 	if err != nil {
 		panic(err)
 	}
+	_ = c.SetReadBuffer(buffer)
+	_ = c.SetWriteBuffer(buffer)
 	return c
 }
 
@@ -127,10 +131,12 @@
 }
 
 func measureForwarder(b *testing.B, role string) forwarded {
-	sink := mustListen(agentAddr).(*net.UDPConn)
+	sink := mustListen(agentAddr)
 	defer sink.Close()
 	var received atomic.Uint64
-	go countDatagrams(sink, &received)
+	for range sinks {
+		go countDatagrams(sink, &received)
+	}
 
 	child := exec.Command(os.Args[0])
 	child.Env = append(os.Environ(), forwarderEnv+"="+role)
@@ -169,7 +175,7 @@
 	return forwarded{float64(count) / spent.Seconds(), cpu / time.Duration(count)}
 }
 
-func countDatagrams(c PacketConn, received *atomic.Uint64) {
+func countDatagrams(c *net.UDPConn, received *atomic.Uint64) {
 	buffer := make([]byte, datagramSize)
 	for {
 		if _, _, err := c.ReadFromUDPAddrPort(buffer); err != nil {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -86,7 +86,7 @@
 }
 
 func (t *Table) mayServe(r *membership.Record) bool {
-	if r.Role != membership.RoleAgent || r.Slots == 0 {
+	if r.Role != membership.RoleAgent || r.Slots == 0 || !r.Addr.Addr().Is4() {
 		return false
 	}
 	return r.State != membership.StateLeft && !t.out[r.Zone]
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -60,6 +60,15 @@
 	}
 }
 
+func TestAgentsThatCannotServe(t *testing.T) {
+	is := is.New(t)
+	records := agentRecords(2)
+	records[0].Slots = 0 // no upstream has announced itself
+	records[1].Addr = netip.MustParseAddrPort("[2001:db8::1]:7000")
+	table := NewTable(testFleet(), "west-1", records)
+	is.Equal(table.Decide(longPacket(firstID(1)), testCaller, bellsAddress).Verdict, DropNoUpstream)
+}
+
 func TestDecideWithoutKeys(t *testing.T) {
 	is := is.New(t)
 	fleet := testFleet()
