--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -47,7 +47,7 @@
 // the first step, also when it calls itself warm.
 func (l *Limiter) Announce(now time.Time, a Announcement) Change {
 	fresh := l.now.State == StateNone
-	coldAgain := a.State == StateCold && l.now.State == StateWarm
+	coldAgain := a.State == StateCold && l.now.State != StateCold
 	if fresh {
 		l.health = newHealth()
 		l.ramp.ceiling = 0
--- a/internal/request/arrive.go
+++ b/internal/request/arrive.go
@@ -69,6 +69,7 @@
 	}
 	entry := e.ledger.add(j.Key, j.Attempt, j.Target == nil)
 	e.ledger.end(now, entry, stateTombstoned, ReasonLedgerFull)
+	e.taken(j)
 	e.reject(now, j, OutcomeNotRun, ReasonLedgerFull)
 }
 
@@ -162,6 +163,14 @@
 func (e *Engine) open(j *job, known *entry) {
 	j.entry = known
 	e.jobs.add(j)
+	e.taken(j)
+}
+
+// taken tells a caller where the outcome is kept.
+func (e *Engine) taken(j *job) {
+	if j.Target == nil {
+		e.do(Taken{ID: j.ID})
+	}
 }
 
 // reject answers a request that never became a job.
--- a/internal/request/event.go
+++ b/internal/request/event.go
@@ -57,10 +57,15 @@
 	Lost bool
 }
 
-// Action is what the shell has to do. The types are RunUpstream, RelayTo,
-// AskOwner, Reply, ReplayAnswer, CancelUpstream and CancelRelay.
+// Action is what the shell has to do. The types are Taken, RunUpstream,
+// RelayTo, AskOwner, Reply, ReplayAnswer, CancelUpstream and CancelRelay.
 type Action interface{ action() }
 
+// Taken tells that this agent keeps the outcome of a caller's non-idempotent
+// request: the shell sends Crocus-Owner in a 103 at once and in the final
+// answer. Answers to requests without it carry no Crocus-Owner.
+type Taken struct{ ID ID }
+
 // RunUpstream hands the request to the upstream. The shell calls UpstreamDone
 // exactly once for it.
 type RunUpstream struct {
@@ -115,6 +120,7 @@
 // CancelRelay cancels the relay. RelayDone still follows.
 type CancelRelay struct{ ID ID }
 
+func (Taken) action()          {}
 func (RunUpstream) action()    {}
 func (RelayTo) action()        {}
 func (AskOwner) action()       {}
