--- /dev/null
+++ b/internal/standin/caller/counts.go
@@ -0,0 +1,116 @@
+package caller
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histogram, in microseconds.
+const (
+	latencyMin    = 1
+	latencyMax    = 120_000_000
+	latencyDigits = 3
+)
+
+// Cause is why flows may break at present.
+type Cause string
+
+// Causes of broken flows.
+const (
+	CausePlanned Cause = "planned" // a planned change, or none at all
+	CauseCrash   Cause = "crash"
+	CauseZone    Cause = "zone"
+)
+
+// Totals are the sums over all callers.
+type Totals struct {
+	FlowsOpened    uint64            `json:"flowsOpened"`
+	FlowsFailed    uint64            `json:"flowsFailed"` // handshakes that did not complete
+	FlowsMoved     uint64            `json:"flowsMoved"`  // replaced after GOAWAY, make before break
+	FlowsBroken    map[Cause]uint64  `json:"flowsBroken"`
+	BrokenBy       map[string]uint64 `json:"brokenBy"` // error to flows
+	StreamsOpened  uint64            `json:"streamsOpened"`
+	StreamsBroken  map[Cause]uint64  `json:"streamsBroken"`
+	Requests       uint64            `json:"requests"` // logical requests, without retries
+	Attempts       uint64            `json:"attempts"`
+	Outcomes       map[string]uint64 `json:"outcomes"` // final outcome and reason
+	Refusals       map[string]uint64 `json:"refusals"` // outcome and reason of each attempt that was refused
+	Crossed        uint64            `json:"crossed"`
+	Truncated      uint64            `json:"truncated"` // short answers without an error
+	WrongService   uint64            `json:"wrongService"`
+	LatenciesMicro *hdrhistogram.Histogram
+}
+
+// Counters collects the totals. It is safe for concurrent use.
+type Counters struct {
+	mu    sync.Mutex
+	t     Totals
+	cause Cause
+}
+
+// NewCounters returns counters at zero.
+func NewCounters() *Counters {
+	return &Counters{
+		cause: CausePlanned,
+		t: Totals{
+			FlowsBroken:    map[Cause]uint64{},
+			BrokenBy:       map[string]uint64{},
+			StreamsBroken:  map[Cause]uint64{},
+			Outcomes:       map[string]uint64{},
+			Refusals:       map[string]uint64{},
+			LatenciesMicro: hdrhistogram.New(latencyMin, latencyMax, latencyDigits),
+		},
+	}
+}
+
+// SetCause sets the cause that flows breaking from now on are counted under.
+func (c *Counters) SetCause(cause Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cause = cause
+}
+
+// Totals returns a copy of the sums.
+func (c *Counters) Totals() Totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.t
+	t.FlowsBroken = maps.Clone(t.FlowsBroken)
+	t.BrokenBy = maps.Clone(t.BrokenBy)
+	t.StreamsBroken = maps.Clone(t.StreamsBroken)
+	t.Outcomes = maps.Clone(t.Outcomes)
+	t.Refusals = maps.Clone(t.Refusals)
+	t.LatenciesMicro = hdrhistogram.Import(t.LatenciesMicro.Export())
+	return t
+}
+
+func (c *Counters) add(change func(*Totals)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.t)
+}
+
+func (c *Counters) flowBroken(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.FlowsBroken[c.cause]++
+	c.t.BrokenBy[err.Error()]++
+}
+
+func (c *Counters) streamBroken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.StreamsBroken[c.cause]++
+}
+
+func (c *Counters) finished(o outcome, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.Outcomes[o.label()]++
+	if o.ran {
+		_ = c.t.LatenciesMicro.RecordValue(took.Microseconds())
+	}
+}
