--- a/internal/entry/throughput_test.go
+++ b/internal/entry/throughput_test.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	forwarderEnv   = "CROCUS_BENCH_FORWARDER"
-	bareForwarder  = "bare"
-	entryForwarder = "entry"
+	forwarderEnv     = "CROCUS_BENCH_FORWARDER"
+	bareForwarder    = "bare"
+	batchedForwarder = "batched"
+	entryForwarder   = "entry"
 
 	throughputRounds = 4
 	throughputPeriod = 1500 * time.Millisecond
@@ -39,11 +40,12 @@
 	if role == "" {
 		os.Exit(m.Run())
 	}
-	run := runBare
-	if role == entryForwarder {
-		run = runEntry
+	forwarders := map[string]func(){
+		bareForwarder:    runBare,
+		batchedForwarder: runBatched,
+		entryForwarder:   runEntry,
 	}
-	go run()
+	go forwarders[role]()
 	// The parent writes a line at the start and at the end of the measurement.
 	in := bufio.NewReader(os.Stdin)
 	fmt.Println("ready")
@@ -80,6 +82,27 @@
 	}
 }
 
+// runBatched forwards every datagram unchanged through the entry's sockets.
+func runBatched() {
+	in, err := listenUDP(fabricAddr)
+	if err != nil {
+		panic(err)
+	}
+	out, err := listenUDP(dataAddr)
+	if err != nil {
+		panic(err)
+	}
+	c := newCounters(prometheus.NewRegistry())
+	for range readersPerSocket {
+		go func() {
+			_ = pump(in, out, newBatch(0), c, func(m *message) {
+				m.out = m.buffer[:m.size]
+				m.to = agentAddr
+			})
+		}()
+	}
+}
+
 func runEntry() {
 	e, err := New(testSettings(), Deps{
 		Log:      slog.New(slog.NewJSONHandler(io.Discard, nil)),
@@ -109,24 +132,30 @@
 	cpuPerPacket     time.Duration
 }
 
-// BenchmarkThroughput compares the entry with a bare UDP forwarder on the same
-// machine, each in a process of its own, in turns. Run it with -benchtime 1x.
+// BenchmarkThroughput compares the entry with two bare UDP forwarders on the
+// same machine, each in a process of its own, in turns. Run it with
+// -benchtime 1x.
 func BenchmarkThroughput(b *testing.B) {
+	roles := []string{bareForwarder, batchedForwarder, entryForwarder}
 	for range b.N {
-		var sum [2]forwarded
+		mean := map[string]forwarded{}
 		for range throughputRounds {
-			for i, role := range []string{bareForwarder, entryForwarder} {
+			for _, role := range roles {
 				f := measureForwarder(b, role)
-				b.Logf("%-5s %8.0f packets/s %v CPU per packet", role, f.packetsPerSecond, f.cpuPerPacket)
-				sum[i].packetsPerSecond += f.packetsPerSecond / throughputRounds
-				sum[i].cpuPerPacket += f.cpuPerPacket / throughputRounds
+				b.Logf("%-7s %8.0f packets/s %v CPU per packet", role, f.packetsPerSecond, f.cpuPerPacket)
+				m := mean[role]
+				m.packetsPerSecond += f.packetsPerSecond / throughputRounds
+				m.cpuPerPacket += f.cpuPerPacket / throughputRounds
+				mean[role] = m
 			}
 		}
-		b.ReportMetric(sum[0].packetsPerSecond, "bare-packets/s")
-		b.ReportMetric(sum[1].packetsPerSecond, "entry-packets/s")
-		b.ReportMetric(sum[1].packetsPerSecond/sum[0].packetsPerSecond, "ratio")
-		b.ReportMetric(float64(sum[0].cpuPerPacket), "bare-cpu-ns/packet")
-		b.ReportMetric(float64(sum[1].cpuPerPacket), "entry-cpu-ns/packet")
+		entry := mean[entryForwarder]
+		for _, role := range roles {
+			b.ReportMetric(mean[role].packetsPerSecond, role+"-packets/s")
+			b.ReportMetric(float64(mean[role].cpuPerPacket), role+"-cpu-ns/packet")
+		}
+		b.ReportMetric(entry.packetsPerSecond/mean[bareForwarder].packetsPerSecond, "of-bare")
+		b.ReportMetric(entry.packetsPerSecond/mean[batchedForwarder].packetsPerSecond, "of-batched")
 	}
 }
 
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"crocusnotch/internal/config"
@@ -90,9 +91,21 @@
 
 func benchNewTable(b *testing.B, fleet *config.Fleet, records []membership.Record) {
 	b.ReportAllocs()
+	before := liveBytes()
+	var table *Table
 	for b.Loop() {
-		NewTable(fleet, "west-1", records)
+		table = NewTable(fleet, "west-1", records)
 	}
+	b.ReportMetric(float64(liveBytes()-before), "live-B")
+	runtime.KeepAlive(table)
+}
+
+// liveBytes returns the size of all reachable objects.
+func liveBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
 }
 
 func benchDecide(b *testing.B, table *Table, packets [][]byte, to []netip.AddrPort, want Verdict) {
