Verify doubtful reports and hold mass suspicion

Cause: the failure table showed that both sides of a cut declared each other dead and did not meet again: the visits to dead members drew an empty bucket, and a repair made the wrong death contagious. Change: visits draw from the list of dead members; a report of suspicion or death that comes by repair is verified by a probe that carries it, so that the member refutes it and never vanishes; suspicions of a process that is cut off are not spread; while more than an eighth of the members are suspect, they stay so and few are declared dead. Ruled out: longer suspicion, which delays the detection of real deaths. Conclusion: rule and repair stand; the promises have tests of their own.

--- a/internal/fleet/memnet_test.go
+++ b/internal/fleet/memnet_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -295,6 +296,8 @@
 	store  *memStore
 	nodes  map[string]*running
 	starts int
+	seeds  []netip.AddrPort
+	zoneOf map[netip.AddrPort]string
 }
 
 type running struct {
@@ -310,10 +313,8 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, net: newMemNet(), store: newMemStore(), nodes: map[string]*running{}}
-	b.store.put(t, config.KindKeys, config.KeysName, config.Keys{
-		Signing: 1, Generations: []config.Generation{{ID: 1, Secret: strings.Repeat("ab", 32)}},
-	})
+	b := &bench{t: t, net: newMemNet(), store: newMemStore(), nodes: map[string]*running{}, zoneOf: map[netip.AddrPort]string{}}
+	b.store.put(t, config.KindKeys, config.KeysName, testKeys(1, 1))
 	for _, z := range testZones {
 		b.store.put(t, config.KindZone, z.Name, z)
 	}
@@ -321,6 +322,19 @@
 	return b
 }
 
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// testKeys makes a key object; a generation 0 is left out.
+func testKeys(signing uint8, generations ...uint8) config.Keys {
+	k := config.Keys{Signing: signing}
+	for _, g := range generations {
+		if g != 0 {
+			k.Generations = append(k.Generations, config.Generation{ID: g, Secret: strings.Repeat("0"+itoa(int(g)), 32)})
+		}
+	}
+	return k
+}
+
 func testService(name string, id uint16, addresses ...string) config.Service {
 	s := config.Service{Name: name, ID: id, Targets: config.Targets{
 		FreshShare: 0.2, FreshSteps: 4, FreshIntervalMillis: 1000, RetentionMillis: 60000,
@@ -335,16 +349,18 @@
 // start starts a node named like e1@pier or a1@quay; a for an agent.
 func (b *bench) start(name string) *running {
 	b.t.Helper()
+	b.kill(name) // two processes cannot have one address
 	b.starts++
 	id, zone, _ := strings.Cut(name, "@")
 	a := memberAddr(id)
+	b.zoneOf[a] = zone
 	self := membership.Record{Addr: a, Control: a, Role: membership.RoleEntry}
 	if id[0] == 'a' {
 		self.Role, self.Service, self.Slots, self.Connections = membership.RoleAgent, 7, 5, 2000
 	}
 	conn, l := b.net.open(a)
 	o := Options{
-		Self: self, Zone: zone, Store: b.store, Conn: conn, Listener: l, Call: b.net.caller(a),
+		Self: self, Zone: zone, Store: b.store, Conn: conn, Listener: l, Call: b.net.caller(a), Seeds: b.seeds,
 		Log:  slog.New(slog.NewJSONHandler(io.Discard, nil)),
 		Rand: rand.New(rand.NewPCG(1, uint64(b.starts))),
 	}
@@ -355,7 +371,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(b.t.Context())
+	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Node: n, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
@@ -377,6 +393,9 @@
 // kill ends a node without a farewell.
 func (b *bench) kill(name string) {
 	r := b.nodes[name]
+	if r == nil {
+		return
+	}
 	delete(b.nodes, name)
 	r.cancel()
 	<-r.done
--- /dev/null
+++ b/internal/fleet/promises_test.go
@@ -0,0 +1,182 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/wire"
+)
+
+// Bounds that the fleet promises.
+const (
+	zoneOutBound = 3 * time.Second
+	leaveBound   = 3 * time.Second
+	deathBound   = 12 * time.Second
+)
+
+// inFleet runs a test on a small fleet that has formed.
+func inFleet(t *testing.T, body func(is *is.I, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.stop()
+		startAll(b, smallFleet...)
+		time.Sleep(settle)
+		body(is.New(t), b)
+	})
+}
+
+func (r *running) stateOf(id string) membership.State {
+	for _, m := range r.Members() {
+		if m.Addr == memberAddr(id) {
+			return m.State
+		}
+	}
+	return 0
+}
+
+func TestZoneOutIsInForceInTime(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		for _, out := range []bool{true, false} {
+			z := testZones[0]
+			z.Out = out
+			b.store.put(b.t, config.KindZone, z.Name, z)
+			time.Sleep(zoneOutBound)
+			for _, n := range b.nodes {
+				is.Equal(n.Config().ZoneOut(z.ID), out)
+			}
+		}
+	})
+}
+
+func TestLeavingIsKnownInTime(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		b.nodes["a1@pier"].Leave(context.Background())
+		b.kill("a1@pier")
+		time.Sleep(leaveBound)
+		for _, n := range b.nodes {
+			is.Equal(n.stateOf("a1"), membership.State(0))
+		}
+	})
+}
+
+func TestDeathIsDetectedInTime(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		b.kill("a1@pier")
+		time.Sleep(deathBound)
+		for _, n := range b.nodes {
+			is.Equal(n.stateOf("a1"), membership.State(0))
+		}
+	})
+}
+
+func TestStateChangeReachesPeersAndEntries(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		b.nodes["a1@pier"].Update(func(r *membership.Record) { r.State = membership.StateDraining })
+		time.Sleep(leaveBound)
+		for name, n := range b.nodes {
+			if name != "a1@pier" {
+				is.Equal(n.stateOf("a1"), membership.StateDraining)
+			}
+		}
+	})
+}
+
+func TestRestartInStoreOutageKeepsTheNewestConfiguration(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		z := testZones[1]
+		z.Out = true
+		revision := b.store.put(b.t, config.KindZone, z.Name, z)
+		time.Sleep(zoneOutBound)
+		b.store.setDown(true)
+		b.seeds = []netip.AddrPort{memberAddr("e1"), memberAddr("e2")}
+		for _, name := range smallFleet {
+			b.start(name) // replaces the running process
+			time.Sleep(settle)
+			is.Equal(b.nodes[name].Config().Revision, revision)
+		}
+	})
+}
+
+func TestOlderObjectsNeverComeBack(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		old := b.store.objects[config.ID{Kind: config.KindZone, Name: "pier"}]
+		z := testZones[0]
+		z.Out = true
+		b.store.put(b.t, config.KindZone, z.Name, z)
+		time.Sleep(zoneOutBound)
+		for _, n := range b.nodes {
+			n.learn(nil, []config.Object{old})
+		}
+		time.Sleep(settle)
+		for _, n := range b.nodes {
+			is.True(n.Config().ZoneOut(z.ID))
+		}
+	})
+}
+
+func TestInvalidObjectLeavesTheValidOneInForce(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		b.store.put(b.t, config.KindService, "bells", map[string]string{"name": "bells"})
+		b.store.put(b.t, config.KindKeys, config.KeysName, map[string]string{})
+		time.Sleep(settle)
+		for _, n := range b.nodes {
+			is.Equal(len(n.ConfigProblems()), 2)
+			is.Equal(n.Config().Services[7].Name, "bells")
+			is.True(n.Config().Keys != nil)
+		}
+	})
+}
+
+func TestLargeObjectIsFetched(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		var addresses []string
+		for i := range 200 {
+			addresses = append(addresses, memberAddr("e7").Addr().String()+":"+itoa(10000+i))
+		}
+		b.store.put(b.t, config.KindService, "bells", testService("bells", 7, addresses...))
+		time.Sleep(settle)
+		for _, n := range b.nodes {
+			is.Equal(len(n.Config().ByAddress), len(addresses))
+		}
+	})
+}
+
+func TestKeysRotateWithOverlap(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		for signing := uint8(1); signing <= 3; signing++ {
+			b.store.put(b.t, config.KindKeys, config.KeysName, testKeys(signing, signing-1, signing, signing+1))
+			time.Sleep(settle)
+			checkAgreement(is, b)
+			for _, n := range b.nodes {
+				is.Equal(n.Config().Keys.Signing(), signing)
+			}
+		}
+	})
+}
+
+func TestControlServiceAnswers(t *testing.T) {
+	inFleet(t, func(is *is.I, b *bench) {
+		b.nodes["e1@pier"].SetStatus(func(s *wire.Status) { s.Counters = map[string]uint64{"x": 1} })
+		call := b.net.caller(memberAddr("e2"))
+		var status wire.Status
+		is.NoErr(call(context.Background(), memberAddr("e1"), wire.MethodStatus, nil, &status))
+		is.Equal(status.Members, len(smallFleet)-1)
+		is.Equal(status.Counters["x"], uint64(1))
+		is.True(status.StoreReachable)
+		is.True(status.ControlBytesIn > 0 && status.ControlBytesOut > 0)
+
+		var events wire.ExplainResult
+		params := wire.ExplainParams{Name: memberAddr("a1").String()}
+		is.NoErr(call(context.Background(), memberAddr("e1"), wire.MethodExplain, params, &events))
+		is.Equal(events.Events[0].What, "unknown to ready")
+		is.True(call(context.Background(), memberAddr("e1"), "fleet.unknown", nil, nil) != nil)
+	})
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -31,15 +31,20 @@
 	return nil
 }
 
+// insert keeps a record and spreads it.
 func (c *Core) insert(now time.Time, r *Record, before State, cause Cause) {
+	c.keep(now, r, before, cause)
+	if c.self.Role == RoleEntry {
+		c.spreadRecord(r)
+	}
+}
+
+func (c *Core) keep(now time.Time, r *Record, before State, cause Cause) {
 	c.table.put(now, r)
 	c.out.Members = true
 	if before != r.State {
 		c.out.Changes = append(c.out.Changes, Change{Record: *r, Before: before, Cause: cause})
 	}
-	if c.self.Role == RoleEntry {
-		c.spreadRecord(r)
-	}
 }
 
 // keeps reports whether this process keeps the record: entries keep all,
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -68,6 +68,8 @@
 	Bucket  uint8           `cbor:"13,keyasint,omitempty"`
 	Items   []byte          `cbor:"14,keyasint,omitempty"` // packed hashes or items
 	Needy   bool            `cbor:"15,keyasint,omitempty"` // agent: knows few entries
+	Repair  bool            `cbor:"16,keyasint,omitempty"` // the records may be old
+	Partial bool            `cbor:"17,keyasint,omitempty"` // a listing of a part of the bucket
 }
 
 // Stub announces an object too large for a datagram; the receiver fetches it.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -7,12 +7,9 @@
 
 // Bounds of probing.
 const (
-	indirectProbes  = 3
-	verdictWindow   = 32 // last probe results that tell whether this process itself is cut off
-	deadBurst       = 50 // dead declarations at once
-	deadPerSecond   = 10.0
-	deadWhenCutOff  = 0.5 // dead declarations a second while most probes fail
-	revisitsPerTurn = 1
+	indirectProbes = 3
+	verifyQueue    = 256
+	verifyPerRound = 4
 )
 
 // probe is one outstanding ping.
@@ -35,8 +32,8 @@
 	results  [verdictWindow]bool
 	recorded int
 	failures int
-	tokens   float64
-	filled   time.Time
+	checked  time.Time // last check of the suspects
+	doubted  []Record  // reports of others that are to be verified
 }
 
 // checkHeartbeats probes the agents whose heartbeats are missing.
@@ -54,6 +51,7 @@
 
 func (c *Core) tickProbes(now time.Time) {
 	c.expireProbes(now)
+	c.verifyDoubted(now)
 	if !now.Before(c.probes.next) {
 		c.probes.next = now.Add(c.timing.Probe)
 		c.probeNext(now, RoleEntry)
@@ -61,14 +59,17 @@
 	}
 	if !now.Before(c.probes.revisit) {
 		c.probes.revisit = now.Add(c.timing.Revisit)
-		c.revisitDead(now)
+		c.revisitDead()
 	}
 }
 
 // probeNext pings the next member of a role; each turn through the list is in
 // a new order because the list is shuffled as it is walked.
 func (c *Core) probeNext(now time.Time, role Role) {
-	list := *c.table.listOf(role)
+	list := c.table.entries
+	if role == RoleAgent {
+		list = c.table.agents
+	}
 	if len(list) == 0 {
 		return
 	}
@@ -79,23 +80,45 @@
 	i := *cursor
 	j := i + c.rand.IntN(len(list)-i)
 	list[i], list[j] = list[j], list[i]
-	list[i].live, list[j].live = i, j
+	list[i].position, list[j].position = i, j
 	*cursor++
 	c.ping(now, list[i])
 }
 
 // revisitDead pings one member that was declared dead, so that both sides of a
 // healed partition meet again.
-func (c *Core) revisitDead(now time.Time) {
-	bucket := c.table.buckets[c.rand.IntN(Buckets)]
-	var best *member
-	for _, m := range bucket {
-		if m.State == StateDead && (best == nil || m.Addr.Compare(best.Addr) < 0) {
-			best = m
-		}
+func (c *Core) revisitDead() {
+	if len(c.table.dead) == 0 {
+		return
 	}
-	if best != nil {
-		c.sendPing(c.nextProbe(), best.Control, &best.Record)
+	m := c.table.dead[c.rand.IntN(len(c.table.dead))]
+	c.sendPing(c.nextProbe(), m.Control, &m.Record)
+}
+
+// doubt queues a report that a live member is suspect or dead. Such a report
+// from a repair may be old, so it is verified and not believed.
+func (c *Core) doubt(r *Record) {
+	if len(c.probes.doubted) < verifyQueue {
+		c.probes.doubted = append(c.probes.doubted, *r)
+	}
+}
+
+// verifyDoubted pings some of the doubted members; the ping carries the report,
+// so that they can refute it.
+func (c *Core) verifyDoubted(now time.Time) {
+	for range verifyPerRound {
+		if len(c.probes.doubted) == 0 {
+			return
+		}
+		r := c.probes.doubted[0]
+		c.probes.doubted = c.probes.doubted[1:]
+		m := c.table.get(r.Addr)
+		if m == nil || !r.Supersedes(&m.Record) {
+			continue
+		}
+		seq := c.nextProbe()
+		c.probes.pending[seq] = &probe{target: m.Addr, control: m.Control, deadline: now.Add(c.timing.ProbeWait)}
+		c.sendPing(seq, m.Control, &r)
 	}
 }
 
@@ -190,58 +213,8 @@
 	}
 	suspected := m.Record
 	suspected.State = StateSuspect
-	c.mergeRecord(now, &suspected, CauseNoAnswer)
-}
-
-func (c *Core) recordProbe(ok bool) {
-	i := c.probes.recorded % verdictWindow
-	if c.probes.recorded >= verdictWindow && !c.probes.results[i] {
-		c.probes.failures--
-	}
-	c.probes.results[i] = ok
-	c.probes.recorded++
-	if !ok {
-		c.probes.failures++
-	}
-}
-
-// cutOff reports whether most of the own probes failed lately, so that this
-// process itself is more likely to be cut off than all the others to be dead.
-func (c *Core) cutOff() bool {
-	return 2*c.probes.failures > min(c.probes.recorded, verdictWindow)
-}
-
-// checkSuspects declares dead the members whose suspicion was not refuted in
-// time. The rate is bounded, and low while this process may be cut off.
-func (c *Core) checkSuspects(now time.Time) {
-	if len(c.table.suspects) == 0 {
-		return
-	}
-	c.fillTokens(now)
-	for _, addr := range sortedAddrs(c.table.suspects) {
-		m := c.table.suspects[addr]
-		if now.Sub(m.changedAt) < c.timing.Suspicion {
-			continue
-		}
-		if c.probes.tokens < 1 {
-			return
-		}
-		c.probes.tokens--
-		dead := m.Record
-		dead.State = StateDead
-		c.mergeRecord(now, &dead, CauseSuspicion)
-	}
-}
-
-func (c *Core) fillTokens(now time.Time) {
-	rate, burst := deadPerSecond, float64(deadBurst)
-	if c.cutOff() {
-		rate, burst = deadWhenCutOff, 1
-	}
-	elapsed := now.Sub(c.probes.filled).Seconds()
-	if c.probes.filled.IsZero() {
-		elapsed = burst / rate
+	c.keep(now, &suspected, m.State, CauseNoAnswer)
+	if !c.cutOff() {
+		c.spreadRecord(&suspected)
 	}
-	c.probes.tokens = min(burst, c.probes.tokens+elapsed*rate)
-	c.probes.filled = now
 }
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -38,9 +38,13 @@
 // mergeMessage merges what a message carries and answers with what is newer
 // here.
 func (c *Core) mergeMessage(now time.Time, m *Message) {
-	answer := &Message{Kind: KindPush}
+	answer := &Message{Kind: KindPush, Repair: true}
 	p := newPacker(answer)
 	for i := range m.Records {
+		if m.Repair && c.isDoubtful(&m.Records[i]) {
+			c.doubt(&m.Records[i])
+			continue
+		}
 		newer := c.mergeRecord(now, &m.Records[i], CauseReported)
 		if newer != nil && c.corrects(m, newer) {
 			p.record(newer)
@@ -55,6 +59,16 @@
 	}
 }
 
+// isDoubtful reports whether a record says that a member is suspect or dead
+// which is alive here.
+func (c *Core) isDoubtful(r *Record) bool {
+	if c.self.Role != RoleEntry || r.State != StateSuspect && r.State != StateDead {
+		return false
+	}
+	known := c.table.get(r.Addr)
+	return known != nil && known.State < StateSuspect && known.Incarnation == r.Incarnation
+}
+
 // corrects reports whether a sender is told of a newer record: spread records
 // are often older on the way, so only a final state is worth an answer there.
 func (c *Core) corrects(m *Message, newer *Record) bool {
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -128,7 +128,7 @@
 		packed = binary.BigEndian.AppendUint64(packed, it.key)
 		packed = binary.BigEndian.AppendUint32(packed, it.hash)
 	}
-	c.send(to, &Message{Kind: KindListing, Table: t, Bucket: b, Items: packed, Needy: partial})
+	c.send(to, &Message{Kind: KindListing, Table: t, Bucket: b, Items: packed, Partial: partial})
 }
 
 // receiveListing answers with what differs or is missing at the sender, and
@@ -146,7 +146,7 @@
 		hash, listed := theirs[it.key]
 		delete(theirs, it.key)
 		differs := listed && hash != it.hash
-		missing := !listed && !it.final() && !m.Needy
+		missing := !listed && !it.final() && !m.Partial
 		if differs || missing {
 			answer = append(answer, it)
 		}
@@ -184,7 +184,7 @@
 		if len(list) == 0 {
 			return
 		}
-		m := &Message{Kind: KindPush}
+		m := &Message{Kind: KindPush, Repair: true}
 		p := newPacker(m)
 		for len(list) > 0 && p.item(list[0]) {
 			list = list[1:]
--- /dev/null
+++ b/internal/membership/suspicion.go
@@ -0,0 +1,69 @@
+package membership
+
+import "time"
+
+// Bounds of suspicion.
+const (
+	verdictWindow  = 32  // last probe results that tell whether this process itself is cut off
+	deathsPerCheck = 10  // dead declarations for each check of the suspects
+	massLeast      = 2   // suspects that are never many
+	massShare      = 8   // one in so many members suspect at once is many
+	massDeathRate  = 0.1 // dead declarations a second of all entries together while many are suspect
+)
+
+func (c *Core) recordProbe(ok bool) {
+	i := c.probes.recorded % verdictWindow
+	if c.probes.recorded >= verdictWindow && !c.probes.results[i] {
+		c.probes.failures--
+	}
+	c.probes.results[i] = ok
+	c.probes.recorded++
+	if !ok {
+		c.probes.failures++
+	}
+}
+
+// cutOff reports whether most of the own probes failed lately, so that this
+// process itself is more likely to be cut off than all the others to be dead.
+func (c *Core) cutOff() bool {
+	return 2*c.probes.failures > min(c.probes.recorded, verdictWindow)
+}
+
+// massSuspicion reports whether so many members are suspect at once that a cut
+// is more likely than their deaths, or that this process itself is cut off.
+func (c *Core) massSuspicion() bool {
+	return len(c.table.suspects) > max(massLeast, c.table.alive()/massShare) || c.cutOff()
+}
+
+// checkSuspects declares dead the members whose suspicion was not refuted in
+// time. While many are suspect they stay so: routing avoids them, but still
+// has them when no others are left. Only few are then declared dead, at a rate
+// that all entries share.
+func (c *Core) checkSuspects(now time.Time) {
+	elapsed := now.Sub(c.probes.checked)
+	c.probes.checked = now
+	if len(c.table.suspects) == 0 {
+		return
+	}
+	limit := deathsPerCheck
+	if c.massSuspicion() {
+		share := massDeathRate * elapsed.Seconds() / float64(1+len(c.table.entries))
+		if c.rand.Float64() >= share {
+			return
+		}
+		limit = 1
+	}
+	for _, addr := range sortedAddrs(c.table.suspects) {
+		m := c.table.suspects[addr]
+		if now.Sub(m.changedAt) < c.timing.Suspicion {
+			continue
+		}
+		dead := m.Record
+		dead.State = StateDead
+		c.mergeRecord(now, &dead, CauseSuspicion)
+		limit--
+		if limit == 0 {
+			return
+		}
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -15,7 +15,7 @@
 	Record
 	seq       uint64    // local number of the last change
 	changedAt time.Time // local time of the last change
-	live      int       // position in the list of its role, -1 when not listed
+	position  int       // in its list, -1 when not listed
 }
 
 // group are the agents of one service.
@@ -31,6 +31,7 @@
 	hashes   [Buckets]uint32
 	entries  []*member // members that are not final
 	agents   []*member
+	dead     []*member // declared dead and not yet forgotten
 	suspects map[netip.AddrPort]*member
 	services map[uint16]*group
 	size     int
@@ -71,7 +72,7 @@
 	b := bucketOf(addrKey(r.Addr))
 	m := t.buckets[b][r.Addr]
 	if m == nil {
-		m = &member{live: -1}
+		m = &member{position: -1}
 		t.buckets[b][r.Addr] = m
 		t.size++
 	} else {
@@ -96,12 +97,14 @@
 	if m.Role == RoleAgent {
 		t.joinGroup(m)
 	}
-	if m.State.Final() {
+	if !m.State.Final() {
+		t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
+	}
+	if m.State == StateLeft {
 		return
 	}
-	t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
-	list := t.listOf(m.Role)
-	m.live = len(*list)
+	list := t.listOf(&m.Record)
+	m.position = len(*list)
 	*list = append(*list, m)
 	if m.State == StateSuspect {
 		t.suspects[m.Addr] = m
@@ -112,16 +115,18 @@
 	if m.Role == RoleAgent {
 		delete(t.services[m.Service].members, m.Addr)
 	}
-	if m.live < 0 {
+	if !m.State.Final() {
+		t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
+	}
+	if m.position < 0 {
 		return
 	}
-	t.hashes[bucketOf(addrKey(m.Addr))] ^= m.stateHash()
-	list := t.listOf(m.Role)
+	list := t.listOf(&m.Record)
 	last := (*list)[len(*list)-1]
-	(*list)[m.live] = last
-	last.live = m.live
+	(*list)[m.position] = last
+	last.position = m.position
 	*list = (*list)[:len(*list)-1]
-	m.live = -1
+	m.position = -1
 	delete(t.suspects, m.Addr)
 }
 
@@ -135,8 +140,12 @@
 	g.seq = max(g.seq, m.seq)
 }
 
-func (t *table) listOf(r Role) *[]*member {
-	if r == RoleEntry {
+// listOf returns the list that a record is in.
+func (t *table) listOf(r *Record) *[]*member {
+	if r.State == StateDead {
+		return &t.dead
+	}
+	if r.Role == RoleEntry {
 		return &t.entries
 	}
 	return &t.agents
