--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,7 +15,7 @@
 )
 
 // start runs the entry in the bubble until the test's end.
-func (b *bench) start(t *testing.T) (cancel func(), done chan error) {
+func (b *harness) start(t *testing.T) (cancel func(), done chan error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done = make(chan error, 1)
 	go func() { done <- b.entry.Run(ctx) }()
@@ -27,7 +27,7 @@
 	return cancel, done
 }
 
-func (b *bench) packets(v routing.Verdict) uint64 { return b.entry.counters.packets[v].Load() }
+func (b *harness) packets(v routing.Verdict) uint64 { return b.entry.counters.packets[v].Load() }
 
 func (c *memoryConn) take() (sent, bool) {
 	synctest.Wait()
@@ -42,7 +42,7 @@
 func TestPacketsReachTheAgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench()
+		b := newHarness()
 		b.start(t)
 		for _, packet := range [][]byte{initial(), established(testKeys(), testZone)} {
 			b.fabric.in <- fromCaller(packet)
@@ -83,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				b := newBench()
+				b := newHarness()
 				b.start(t)
 				b.data.in <- c.datagram
 				s, ok := b.fabric.take()
@@ -105,10 +105,10 @@
 func TestZoneOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench()
+		b := newHarness()
 		b.start(t)
 		b.fleet.set(func() { b.fleet.config = testConfig(true) })
-		time.Sleep(maxRebuildRest)
+		time.Sleep(maxRebuildPause)
 		for _, packet := range [][]byte{established(testKeys(), testZone), initial()} {
 			b.fabric.in <- fromCaller(packet)
 			_, ok := b.data.take()
@@ -126,7 +126,7 @@
 func TestStopDrainsThenLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench()
+		b := newHarness()
 		_, done := b.start(t)
 		b.entry.Stop()
 		b.entry.Stop()
@@ -157,7 +157,7 @@
 func TestAbruptEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		b := newBench()
+		b := newHarness()
 		cancel, done := b.start(t)
 		cancel()
 		is.True(errors.Is(<-done, context.Canceled))
@@ -168,7 +168,7 @@
 
 func TestNothingIsAllocatedForEachPacket(t *testing.T) {
 	is := is.New(t)
-	b := newBench()
+	b := newHarness()
 	b.adopt()
 	f, r := newForwarder(b.entry), newRelay(b.entry)
 	for _, packet := range [][]byte{initial(), established(testKeys(), testZone)} {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -160,8 +160,8 @@
 	return nil
 }
 
-// bench is an entry with in-memory sockets.
-type bench struct {
+// harness is an entry with in-memory sockets.
+type harness struct {
 	entry  *Entry
 	fleet  *fakeFleet
 	fabric *memoryConn
@@ -175,15 +175,15 @@
 	return s
 }
 
-func newBench() *bench {
+func newHarness() *harness {
 	f := newFakeFleet()
-	b := newBenchWith(f)
+	b := newHarnessWith(f)
 	b.fleet = f
 	return b
 }
 
-func newBenchWith(f Fleet) *bench {
-	b := &bench{fabric: newMemoryConn(), data: newMemoryConn()}
+func newHarnessWith(f Fleet) *harness {
+	b := &harness{fabric: newMemoryConn(), data: newMemoryConn()}
 	e, err := New(testSettings(), Deps{
 		Log:      slog.New(slog.NewJSONHandler(io.Discard, nil)),
 		Registry: prometheus.NewRegistry(),
@@ -203,7 +203,7 @@
 }
 
 // adopt makes the table of the present view without Run.
-func (b *bench) adopt() {
+func (b *harness) adopt() {
 	b.entry.table.Store(routing.NewTable(b.fleet.Config(), "one", b.fleet.Members()))
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// rebuildRest is the rest after a rebuild of the table, as a multiple of
+	// rebuildPause is the pause after a rebuild of the table, as a multiple of
 	// the time that it took. It bounds the processor time of bursts.
-	rebuildRest = 50
-	// maxRebuildRest bounds the rest, so that a zone taken out is soon in
+	rebuildPause = 50
+	// maxRebuildPause bounds the pause, so that a zone taken out is soon in
 	// force.
-	maxRebuildRest = time.Second
+	maxRebuildPause = time.Second
 )
 
 // follow keeps the table in step with the fleet until ctx ends.
@@ -23,8 +23,8 @@
 		table := e.table.Load().Next(e.fleet.Config(), e.fleet.Members())
 		e.table.Store(table)
 		reporter.report(time.Now(), table)
-		rest := min(rebuildRest*time.Since(start), maxRebuildRest)
-		if !sleep(ctx, rest) {
+		pause := min(rebuildPause*time.Since(start), maxRebuildPause)
+		if !sleep(ctx, pause) {
 			return nil
 		}
 		select {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,7 +16,7 @@
 
 func (f *forwarder) run() error {
 	e := f.entry
-	return pump(e.fabric, e.data, newBatch(wire.HeaderSize), e.counters, f.handle)
+	return transfer(e.fabric, e.data, newBatch(wire.HeaderSize), e.counters, f.handle)
 }
 
 // handle decides on a datagram from the fabric, which lies behind the space
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -42,7 +42,7 @@
 		platformStore := platform.New("http://store", platform.Options{
 			HTTP: &http.Client{Transport: handlerTransport{store.New(store.Options{})}},
 		})
-		b := newBenchWith(newTestNode(t, platformStore))
+		b := newHarnessWith(newTestNode(t, platformStore))
 		_, done := b.start(t)
 		forwarded := func() bool {
 			b.fabric.in <- fromCaller(established(testKeys(), testZone))
--- a/internal/entry/proxy_test.go
+++ b/internal/entry/proxy_test.go
@@ -92,7 +92,7 @@
 	h := libraryHeader(callerAddr, serviceAddr)
 	_ = h.SetTLVs([]proxyproto.TLV{{Type: proxyproto.PP2_TYPE_MIN_CUSTOM, Value: []byte("fabric")}})
 	f.Add(libraryDatagram(h, initial()))
-	b := newBench()
+	b := newHarness()
 	b.adopt()
 	forwarder := newForwarder(b.entry)
 	m := newMessage(wire.HeaderSize)
@@ -114,7 +114,7 @@
 func FuzzAgentDatagram(f *testing.F) {
 	f.Add(fromAgent(testKeys(), wire.KindToCaller, initial()), true)
 	f.Add(fromAgent(testKeys(), wire.KindToAgent, initial()), false)
-	b := newBench()
+	b := newHarness()
 	b.adopt()
 	r := newRelay(b.entry)
 	m := newMessage(0)
@@ -157,7 +157,7 @@
 // BenchmarkHandle measures a packet's way through the entry without the
 // system's sockets, with a copy of the packet into the buffer.
 func BenchmarkHandle(b *testing.B) {
-	bench := newBench()
+	bench := newHarness()
 	bench.adopt()
 	f, r := newForwarder(bench.entry), newRelay(bench.entry)
 	for _, c := range []struct {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -38,7 +38,7 @@
 
 func (r *relay) run() error {
 	e := r.entry
-	return pump(e.data, e.fabric, newBatch(0), e.counters, r.handle)
+	return transfer(e.data, e.fabric, newBatch(0), e.counters, r.handle)
 }
 
 func (r *relay) handle(m *message) {
--- a/internal/entry/socket.go
+++ b/internal/entry/socket.go
@@ -61,10 +61,10 @@
 	return b
 }
 
-// pump moves datagrams from one socket to the other as handle decides, until
+// transfer moves datagrams from one socket to the other as handle decides, until
 // the first one is interrupted. Other errors of a datagram socket concern
 // single datagrams and are counted.
-func pump(in, out socket, b *batch, c *counters, handle func(*message)) error {
+func transfer(in, out socket, b *batch, c *counters, handle func(*message)) error {
 	receive := in.receiver(b)
 	send := out.sender(b)
 	for {
--- a/internal/entry/socket_linux.go
+++ b/internal/entry/socket_linux.go
@@ -16,7 +16,7 @@
 	// socketBuffer is the size asked for each socket buffer, in bytes. The
 	// system may grant less.
 	socketBuffer = 4 << 20
-	// receiveTimeout bounds a wait in the system, after which a receiver looks
+	// receiveTimeoutMicros bounds a wait in the system, after which a receiver looks
 	// whether it was interrupted.
 	receiveTimeoutMicros = 100_000
 )
--- a/internal/entry/throughput_test.go
+++ b/internal/entry/throughput_test.go
@@ -93,7 +93,7 @@
 	c := newCounters(prometheus.NewRegistry())
 	for range readersPerSocket {
 		go func() {
-			_ = pump(in, out, newBatch(0), c, func(m *message) {
+			_ = transfer(in, out, newBatch(0), c, func(m *message) {
 				m.out = m.buffer[:m.size]
 				m.to = agentAddr
 			})
