Report an entry of a zone that is out as unhealthy

The fabric's health check is the platform's only way to learn that an entry takes no packets. The page now answers 503 with zone out.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,8 +179,12 @@
 		return false, "draining"
 	default:
 	}
-	if e.table.Load().Keys() == nil {
+	table := e.table.Load()
+	if table.Keys() == nil {
 		return false, "no keys known yet"
 	}
+	if z := table.Fleet().ByZone[e.settings.Zone]; z != nil && z.Out {
+		return false, "zone out"
+	}
 	return true, ""
 }
--- a/internal/entry/node_test.go
+++ b/internal/entry/node_test.go
@@ -70,6 +70,9 @@
 		time.Sleep(zoneOutLimit)
 		is.True(!forwarded())
 		is.Equal(b.packets(routing.DropZoneOut), uint64(1))
+		healthy, reason := b.entry.Health()
+		is.True(!healthy) // the fabric must turn to entries of other zones
+		is.Equal(reason, "zone out")
 
 		b.entry.Stop()
 		is.NoErr(<-done)
