--- /dev/null
+++ b/internal/agent/adopt.go
@@ -0,0 +1,154 @@
+package agent
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"crocusnotch/internal/admission"
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/request"
+)
+
+// adopt takes an announcement of the upstream.
+func (l *loop) adopt(a Announcement) error {
+	if l.pinned != "" && a.Service != l.pinned {
+		reason := fmt.Sprintf("this agent serves %s until it is restarted", l.pinned)
+		return &config.InvalidError{Fields: []config.FieldError{{Path: "service", Reason: reason}}}
+	}
+	if l.pinned == "" {
+		l.pinned = a.Service
+		l.agent.deps.Fleet.Follow(a.Service)
+	}
+	l.leaseUntil = time.Now().Add(announceLease)
+	if a == l.upstream {
+		return nil
+	}
+	l.event(fmt.Sprintf("%q to %q", l.upstream.State, a.State), "the upstream announced it")
+	l.upstream = a
+	l.agent.upstream.setAddress(a.Address)
+	l.agent.socket.paths.setBound(a.Connections)
+	l.adoptService()
+	l.publish()
+	return nil
+}
+
+// adoptService looks the announced service up in the configuration and tells
+// the engine of the upstream.
+func (l *loop) adoptService() {
+	service := l.findService()
+	if old := l.service.Swap(service); service != nil && old != service {
+		l.agent.driver.setTargets(service.Targets)
+	}
+	l.tellEngine()
+}
+
+func (l *loop) findService() *config.Service {
+	for _, s := range l.cfg.Services {
+		if s.Name == l.pinned {
+			return s
+		}
+	}
+	return nil
+}
+
+func (l *loop) tellEngine() {
+	a := admission.Announcement{}
+	if l.present() && l.service.Load() != nil {
+		a.Slots = l.upstream.Slots
+		a.Connections = l.upstream.Connections
+		a.State = l.upstream.condition()
+	}
+	l.agent.driver.announce(a)
+}
+
+func (l *loop) present() bool { return l.upstream.State != "" }
+
+// adoptZone acts on operators taking the zone out or in.
+func (l *loop) adoptZone() {
+	zone := l.cfg.ByZone[l.agent.settings.Zone]
+	out := zone != nil && zone.Out
+	if out == l.zoneOut {
+		return
+	}
+	l.zoneOut = out
+	if out {
+		l.agent.driver.zoneOut(true)
+		n := l.agent.flows.closeAll(request.ReasonZoneOut)
+		l.event("in to out", fmt.Sprintf("operators took the zone out; %d flows closed", n))
+		return
+	}
+	l.event("out to in", "operators took the zone in")
+	l.agent.flows.reopen()
+	// The upstream comes back as a fresh one.
+	l.agent.driver.announce(admission.Announcement{})
+	l.tellEngine()
+	l.agent.driver.zoneOut(false)
+}
+
+// adoptEntries keeps the live entries, and since when others are gone.
+func (l *loop) adoptEntries() {
+	var live []netip.AddrPort
+	for _, m := range l.members {
+		if m.Role == membership.RoleEntry {
+			live = append(live, m.Addr)
+		}
+	}
+	slices.SortFunc(live, netip.AddrPort.Compare)
+	gone := map[netip.AddrPort]time.Time{}
+	for a, since := range l.goneEntries {
+		if !contains(live, a) && time.Since(since) < pathIdle {
+			gone[a] = since
+		}
+	}
+	for _, a := range l.entries {
+		if !contains(live, a) {
+			gone[a] = time.Now()
+		}
+	}
+	l.entries, l.goneEntries = live, gone
+}
+
+func contains(sorted []netip.AddrPort, a netip.AddrPort) bool {
+	_, found := slices.BinarySearchFunc(sorted, a, netip.AddrPort.Compare)
+	return found
+}
+
+// adoptPeers tells the engine and the hunting of the agents of the service.
+func (l *loop) adoptPeers() {
+	var peers []membership.Record
+	keep := map[request.Ref]bool{}
+	for _, m := range l.members {
+		if l.isPeer(&m) {
+			peers = append(peers, m)
+			keep[request.Ref{Addr: m.Relay, Incarnation: m.Incarnation}] = true
+		}
+	}
+	for _, p := range l.peers {
+		ref := request.Ref{Addr: p.Relay, Incarnation: p.Incarnation}
+		if !keep[ref] {
+			l.agent.driver.peerGone(ref)
+		}
+	}
+	l.peers = peers
+	l.agent.peers.retain(peers)
+}
+
+// isPeer reports whether a member can take work of this agent's service. Work
+// stays in the region.
+func (l *loop) isPeer(m *membership.Record) bool {
+	service := l.service.Load()
+	if service == nil || m.Role != membership.RoleAgent || m.Service != service.ID {
+		return false
+	}
+	if m.Addr == l.agent.settings.Data || l.cfg.ZoneOut(m.Zone) {
+		return false
+	}
+	own := l.cfg.ByZone[l.agent.settings.Zone]
+	if own != nil && l.cfg.Region(m.Zone) != own.Region {
+		return false
+	}
+	return m.State == membership.StateReady || m.State == membership.StateCold
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,235 @@
+// Package agent runs beside one upstream: it ends the callers' flows, admits
+// their requests to the upstream, relays them to peer agents, and carries out
+// drain and cold start. The decisions are in packages request and admission;
+// this package does the I/O around them.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/request"
+	"crocusnotch/internal/wire"
+)
+
+// Deps are the parts that an agent is given.
+type Deps struct {
+	Log      *slog.Logger
+	Registry *prometheus.Registry
+	TLS      *wire.MutualTLS
+	Callers  *tls.Certificate
+	// Fleet is the view of the other processes.
+	Fleet Fleet
+	// Network opens sockets; nil means the host's.
+	Network Network
+	// Incarnation identifies this start of the process; 0 means the time in
+	// Unix milliseconds.
+	Incarnation uint64
+}
+
+// Agent is one running agent.
+type Agent struct {
+	settings    config.Agent
+	deps        Deps
+	incarnation uint64
+	metrics     *metrics
+	socket      *socket
+	flows       *flowSet
+	driver      *driver
+	upstream    *upstreamClient
+	relays      *relayClient
+	peers       *peerLoads
+	handler     *requestHandler
+	relayServer *relayServer
+	announcer   *http.Server
+
+	announceListener net.Listener
+	relayListener    net.Listener
+
+	stopOnce sync.Once
+	stop     chan struct{}
+	loop     *loop
+	abort    context.CancelFunc // ends the tries
+}
+
+// New opens the agent's sockets. The error names the one that failed.
+func New(s config.Agent, d Deps) (*Agent, error) {
+	if d.Network == nil {
+		d.Network = &hostNetwork{}
+	}
+	if d.Incarnation == 0 {
+		d.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	a := &Agent{
+		settings:    s,
+		deps:        d,
+		incarnation: d.Incarnation,
+		metrics:     newMetrics(d.Registry),
+		flows:       newFlowSet(),
+		peers:       newPeerLoads(),
+		upstream:    newUpstreamClient(d.Network),
+		relays:      newRelayClient(d.Network, d.TLS),
+		stop:        make(chan struct{}),
+	}
+	if err := a.open(); err != nil {
+		a.closeSockets()
+		return nil, err
+	}
+	a.assemble()
+	return a, nil
+}
+
+func (a *Agent) open() error {
+	conn, err := a.deps.Network.ListenDatagrams(a.settings.Data)
+	if err != nil {
+		return errors.Wrap(err, "data")
+	}
+	a.socket = newSocket(conn, a.settings.Data, &a.metrics.socket)
+	if a.relayListener, err = a.deps.Network.Listen(a.settings.Relay); err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	if a.announceListener, err = a.deps.Network.Listen(a.settings.Announce); err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	return nil
+}
+
+func (a *Agent) closeSockets() {
+	if a.socket != nil {
+		_ = a.socket.Close()
+	}
+	for _, l := range []net.Listener{a.relayListener, a.announceListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// assemble ties the parts together.
+func (a *Agent) assemble() {
+	start := time.Now()
+	self := request.Ref{Addr: a.settings.Relay, Incarnation: a.incarnation}
+	engine := request.New(request.Options{
+		Self:   self,
+		Start:  start,
+		Random: rand.New(rand.NewPCG(a.incarnation, uint64(a.settings.Data.Port()))),
+	})
+	a.driver = newDriver(engine, a.metrics)
+	base, abort := context.WithCancel(context.Background())
+	a.abort = abort
+	a.loop = newLoop(a)
+	a.handler = &requestHandler{
+		driver:   a.driver,
+		service:  a.loop.service.Load,
+		upstream: a.upstream,
+		relays:   a.relays,
+		metrics:  a.metrics,
+		owner:    self.String(),
+		base:     base,
+	}
+	a.relayServer = newRelayServer(a.driver, a.handler.peers(), a.deps.TLS)
+	h := &announceHandler{announce: a.loop.announce, progress: a.progress}
+	a.announcer = &http.Server{Handler: h.routes(), ReadHeaderTimeout: handshakeTimeout}
+	a.socket.load = a.ownFlows
+	a.socket.peer = a.peers.flows
+	a.socket.report = a.takeLoad
+	a.deps.Fleet.SetStatus(a.fillStatus)
+	a.registerGauges()
+}
+
+// Run serves until ctx ends, which is abrupt, or until Stop was called and the
+// last flow and request have ended.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return a.deps.Fleet.Run(ctx) })
+	g.Go(func() error { return a.relayServer.serve(a.relayListener) })
+	g.Go(func() error { return a.serveAnnounce() })
+	g.Go(func() error {
+		defer cancel()
+		return a.loop.run(ctx)
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		a.close()
+		return nil
+	})
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (a *Agent) serveAnnounce() error {
+	err := a.announcer.Serve(a.announceListener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve announcements")
+}
+
+// Stop drains: callers are told to go elsewhere, running work finishes, and
+// Run returns when the last flow has ended.
+func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
+
+// close ends everything at once. After a drain nothing is left to cut; after
+// an abrupt end nothing more is sent, as when the process dies.
+func (a *Agent) close() {
+	a.closeSockets()
+	a.abort()
+	a.loop.closeListener()
+	_ = a.relayServer.server.Close()
+	_ = a.announcer.Close()
+	a.driver.stop()
+	a.upstream.close()
+	a.relays.close()
+}
+
+func (a *Agent) ownFlows() flowLoad {
+	return flowLoad{flows: a.flows.len(), connections: int(a.loop.connections.Load())}
+}
+
+func (a *Agent) progress() DrainProgress {
+	p := DrainProgress{Flows: a.flows.len(), Running: a.driver.status().counts.Running}
+	p.Drained = a.loop.draining.Load() && p.Flows == 0 && p.Running == 0
+	return p
+}
+
+func (a *Agent) fillStatus(s *wire.Status) {
+	d := a.driver.status()
+	status := &wire.AgentStatus{
+		Slots:       d.load.Slots,
+		Limit:       d.load.Limit,
+		Busy:        d.load.Busy,
+		Queued:      d.load.Queued,
+		Flows:       a.flows.len(),
+		LongStreams: max(0, d.counts.Running-d.load.Busy),
+		FlowsByKey:  a.flows.generations(),
+	}
+	if service := a.loop.service.Load(); service != nil {
+		status.Service = service.Name
+	}
+	if up := a.upstream.address.Load(); up != nil {
+		status.Upstream = up.String()
+	}
+	s.Agent = status
+}
+
+// Health reports whether the agent takes new flows; the text says why not.
+func (a *Agent) Health() (ok bool, reason string) {
+	r := *a.loop.refusal.Load()
+	return r == request.ReasonNone, string(r)
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
+
+	"crocusnotch/internal/request"
+)
+
+// echo answers with the method, the path and the body.
+var echo = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, r.Method+" "+r.URL.Path+" "+string(body))
+})
+
+func TestWholePath(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		for range 6 {
+			c := b.mustDial()
+			status, text, _, err := c.get("GET", "/x", nil)
+			b.is.NoErr(err)
+			b.is.Equal(status, 200)
+			b.is.Equal(text, "GET /x ")
+			status, text, h, err := c.get("POST", "/ring/1", strings.NewReader("fog"), "Idempotency-Key", c.addr.String())
+			b.is.NoErr(err)
+			b.is.Equal(status, 200)
+			b.is.Equal(text, "POST /ring/1 fog")
+			b.is.Equal(h.Get(request.HeaderOutcome), "") // the answer is the upstream's
+			c.close()
+		}
+	}, echo, echo)
+}
+
+func TestAnswersThatEndEarlyAreReset(t *testing.T) {
+	var runs atomic.Int32
+	upstream := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/length" {
+			w.Header().Set("Content-Length", "100")
+		}
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		if r.URL.Path != "/length" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		for i, path := range []string{"/length", "/crash", "/watch", "/ring"} {
+			_, _, _, err := c.get("POST", path, strings.NewReader("x"), "Idempotency-Key", path)
+			b.is.True(err != nil) // never a short success
+			b.is.Equal(int(runs.Load()), i+1)
+		}
+		status, _, h, err := c.get("POST", "/ring", strings.NewReader("x"), "Idempotency-Key", "/ring")
+		b.is.NoErr(err)
+		b.is.Equal(status, 502)
+		b.is.Equal(h.Get(request.HeaderOutcome), "unknown")
+		b.is.Equal(int(runs.Load()), 4) // the key did not run again
+	}, upstream)
+}
+
+func TestKilledAgentResetsItsFlowsAfterRestart(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		_, _, _, err := c.get("GET", "/", nil)
+		b.is.NoErr(err)
+		b.agents[0].kill()
+		b.agents[0] = b.restart(b.agents[0])
+		time.Sleep(time.Second)
+		_, _, _, err = c.get("GET", "/", nil)
+		var reset *quic.StatelessResetError
+		b.is.True(errors.As(err, &reset))
+		again := b.mustDial()
+		status, _, _, err := again.get("GET", "/", nil)
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+	}, echo)
+}
+
+func TestZoneOutClosesFlowsAndRefuses(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		b.cluster.setConfig(testConfig(1, true))
+		time.Sleep(100 * time.Millisecond)
+		var closed *quic.ApplicationError
+		b.is.True(errors.As(context.Cause(c.conn.Context()), &closed))
+		b.is.Equal(closed.ErrorCode, errCodeZoneOut)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := b.dialContext(ctx)
+		b.is.True(err != nil)
+		b.cluster.setConfig(testConfig(1, false))
+		time.Sleep(100 * time.Millisecond)
+		again := b.mustDial()
+		status, _, _, err := again.get("GET", "/", nil)
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+	}, echo)
+}
+
+func TestDrainKeepsLongStreams(t *testing.T) {
+	finish := make(chan struct{})
+	upstream := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/watch" {
+			_, _ = io.WriteString(w, "begin ")
+			w.(http.Flusher).Flush()
+			<-finish
+		}
+		_, _ = io.WriteString(w, "end")
+	})
+	inBubble(t, func(b *bench) {
+		finish = make(chan struct{})
+		first := b.agents[0]
+		b.net.entries[0].candidates = b.net.entries[0].candidates[:1]
+		b.net.entries[1].down, b.net.entries[2].down = true, true
+		c := b.mustDial()
+		resp, err := c.do(context.Background(), "GET", "/watch", nil)
+		b.is.NoErr(err)
+		first.Stop()
+		first.Stop()
+		time.Sleep(time.Hour) // no timer cuts the stream
+		_, progress := b.onAnnounce(first, http.MethodGet, nil)
+		b.is.Equal(strings.TrimSpace(progress), `{"flows":1,"running":1,"drained":false}`)
+		_, _, _, err = c.get("GET", "/", nil)
+		b.is.True(err != nil) // GOAWAY came: the next request needs a new flow
+		b.net.entries[0].candidates = b.agents[1].candidate()
+		next := b.mustDial() // make before break
+		_, text, _, err := next.get("GET", "/", nil)
+		b.is.NoErr(err)
+		b.is.Equal(text, "end")
+		close(finish)
+		whole, err := io.ReadAll(resp.Body)
+		b.is.NoErr(err)
+		b.is.Equal(string(whole), "begin end")
+		select {
+		case <-first.done:
+			b.t.Fatal("the agent left before its last flow")
+		default:
+		}
+		c.close()
+		<-first.done
+		b.is.NoErr(first.err)
+		synctest.Wait()
+	}, upstream, upstream)
+}
+
+func TestReplayBody(t *testing.T) {
+	is := is.New(t)
+	b := newReplayBody(strings.NewReader("departure"))
+	first := b.reader()
+	part := make([]byte, 4)
+	_, err := io.ReadFull(first, part)
+	is.NoErr(err)
+	is.NoErr(first.Close())
+	whole, err := io.ReadAll(b.reader())
+	is.NoErr(err)
+	is.Equal(string(whole), "departure")
+	long := newReplayBody(strings.NewReader(strings.Repeat("x", maxReplayBody+1)))
+	_, err = io.ReadAll(long.reader())
+	is.NoErr(err)
+	is.True(!long.replayable())
+	_, err = io.ReadAll(long.reader())
+	is.True(errors.Is(err, errBodyGone))
+}
--- /dev/null
+++ b/internal/agent/driver.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"crocusnotch/internal/admission"
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/request"
+)
+
+// driver owns the request engine: it takes events one at a time and hands the
+// engine's actions to the exchanges. It is safe for concurrent use.
+type driver struct {
+	metrics *metrics
+
+	mu        sync.Mutex
+	engine    *request.Engine
+	exchanges map[request.ID]*exchange
+	lastID    request.ID
+	timer     *time.Timer
+	wakeAt    time.Time
+}
+
+func newDriver(e *request.Engine, m *metrics) *driver {
+	d := &driver{metrics: m, engine: e, exchanges: map[request.ID]*exchange{}}
+	d.timer = time.AfterFunc(time.Hour, d.tick)
+	d.timer.Stop()
+	return d
+}
+
+// step gives one event to the engine and dispatches what follows.
+func (d *driver) step(event func(*request.Engine, time.Time) []request.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dispatch(event(d.engine, time.Now()))
+	d.schedule()
+}
+
+// arrive registers an exchange and gives its request to the engine.
+func (d *driver) arrive(x *exchange, r request.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastID++
+	r.ID = d.lastID
+	x.id = r.ID
+	d.exchanges[r.ID] = x
+	d.dispatch(d.engine.Arrive(time.Now(), r))
+	d.schedule()
+}
+
+// dispatch hands each action to its exchange. An exchange leaves the table
+// with its reply; a run that goes on reports by its identifier.
+func (d *driver) dispatch(actions []request.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case request.RunUpstream:
+			d.count(a.Retry, request.ReasonUpstreamFailed)
+			d.exchanges[a.ID].post(a)
+		case request.RelayTo:
+			d.metrics.relays.WithLabelValues(string(a.Reason)).Inc()
+			d.count(a.Retry, a.Reason)
+			d.exchanges[a.ID].post(a)
+		case request.AskOwner:
+			d.exchanges[a.ID].post(a)
+		case request.Reply:
+			d.exchanges[a.ID].post(a)
+		case request.ReplayAnswer:
+			d.exchanges[a.ID].post(a)
+		case request.CancelUpstream:
+			d.exchanges[a.ID].cancelTry()
+		case request.CancelRelay:
+			d.exchanges[a.ID].cancelTry()
+		}
+	}
+}
+
+func (d *driver) count(retry bool, reason request.Reason) {
+	if retry {
+		d.metrics.retries.WithLabelValues(string(reason)).Inc()
+	}
+}
+
+// forget removes an exchange that has replied and whose last try has ended.
+func (d *driver) forget(id request.ID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.exchanges, id)
+}
+
+// schedule arms the timer for the engine's next deadline.
+func (d *driver) schedule() {
+	at, ok := d.engine.NextTick()
+	if !ok {
+		d.timer.Stop()
+		d.wakeAt = time.Time{}
+		return
+	}
+	if at.Equal(d.wakeAt) {
+		return
+	}
+	d.wakeAt = at
+	d.timer.Reset(time.Until(at))
+}
+
+func (d *driver) tick() {
+	d.mu.Lock()
+	d.wakeAt = time.Time{}
+	d.mu.Unlock()
+	d.step((*request.Engine).Tick)
+}
+
+func (d *driver) stop() { d.timer.Stop() }
+
+func (d *driver) upstreamDone(id request.ID, r request.Result) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.UpstreamDone(now, id, r) })
+}
+
+func (d *driver) relayDone(id request.ID, r request.Result) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.RelayDone(now, id, r) })
+}
+
+func (d *driver) ownerAnswered(id request.ID, r request.Resolution) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.OwnerAnswered(now, id, r) })
+}
+
+func (d *driver) established(id request.ID) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.Established(now, id) })
+}
+
+func (d *driver) cancelled(id request.ID) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.Cancelled(now, id) })
+}
+
+func (d *driver) announce(a admission.Announcement) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.Announce(now, a) })
+}
+
+func (d *driver) drain() { d.step((*request.Engine).Drain) }
+
+func (d *driver) zoneOut(out bool) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.SetZoneOut(now, out) })
+}
+
+func (d *driver) peerLoad(r request.PeerReport) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.PeerLoad(now, r) })
+}
+
+func (d *driver) resolve(q request.Query) (out request.Resolution) {
+	d.step(func(e *request.Engine, now time.Time) []request.Action {
+		out = e.Resolve(now, q)
+		return nil
+	})
+	return out
+}
+
+func (d *driver) peerGone(r request.Ref) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.PeerGone(r)
+}
+
+func (d *driver) setTargets(t config.Targets) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.engine.SetTargets(time.Now(), t)
+	d.schedule()
+}
+
+// driverStatus is the state of the engine.
+type driverStatus struct {
+	load   admission.Load
+	counts request.Counts
+	clock  request.Ref
+}
+
+func (d *driver) status() driverStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return driverStatus{
+		load:   d.engine.Load(),
+		counts: d.engine.Counts(),
+		clock:  d.engine.Clock(time.Now()),
+	}
+}
--- /dev/null
+++ b/internal/agent/exchange.go
@@ -0,0 +1,191 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"crocusnotch/internal/request"
+)
+
+// maxActions bounds the actions of one exchange that wait at a time: one try
+// or question, and the reply.
+const maxActions = 4
+
+// exchange is one request with its caller and its tries.
+type exchange struct {
+	handler  *requestHandler
+	id       request.ID
+	inbound  *http.Request
+	body     *replayBody
+	gate     *gate
+	atMost   bool
+	stream   bool
+	deadline time.Time
+	actions  chan request.Action
+
+	mu        sync.Mutex
+	cancel    context.CancelFunc // ends the current try
+	cancelled bool
+	trying    bool
+	replied   bool
+}
+
+// post hands an action to the exchange's handler.
+func (x *exchange) post(a request.Action) {
+	select {
+	case x.actions <- a:
+	default:
+		panic("agent: more actions than an exchange can have")
+	}
+}
+
+// cancelTry ends the current try, or the next one before it starts.
+func (x *exchange) cancelTry() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cancelled = true
+	if x.cancel != nil {
+		x.cancel()
+	}
+}
+
+// beginTry returns the context of a try. It outlives the caller, because the
+// outcome of a non-idempotent request must be learned.
+func (x *exchange) beginTry() context.Context {
+	ctx, cancel := context.WithCancel(x.handler.base)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.trying = true
+	x.cancel = cancel
+	if x.cancelled {
+		cancel()
+	}
+	return ctx
+}
+
+func (x *exchange) endTry() {
+	x.mu.Lock()
+	x.cancel()
+	x.cancel = nil
+	x.cancelled = false
+	x.trying = false
+	last := x.replied
+	x.mu.Unlock()
+	if last {
+		x.handler.driver.forget(x.id)
+	}
+}
+
+// endReply marks the exchange as answered; a try may go on.
+func (x *exchange) endReply() {
+	x.mu.Lock()
+	x.replied = true
+	last := !x.trying
+	x.mu.Unlock()
+	if last {
+		x.handler.driver.forget(x.id)
+	}
+}
+
+// prefetch reads a short request body before the request asks for a slot, so
+// that a slow caller holds none. It returns false when the caller has gone.
+func (x *exchange) prefetch() bool {
+	if x.inbound.ContentLength == 0 {
+		return true
+	}
+	if !x.deadline.IsZero() {
+		_ = x.gate.rc.SetReadDeadline(x.deadline)
+	}
+	err := x.body.prefetch()
+	if x.inbound.Context().Err() != nil {
+		return false
+	}
+	if err == nil {
+		_ = x.gate.rc.SetReadDeadline(time.Time{})
+	}
+	// After a read error the deadline has passed, and the engine refuses.
+	return err == nil || !x.deadline.IsZero() && !time.Now().Before(x.deadline)
+}
+
+// serve carries out the engine's actions until the request is answered.
+func (x *exchange) serve() {
+	for a := range x.actions {
+		switch a := a.(type) {
+		case request.RunUpstream:
+			ctx := x.beginTry()
+			go x.runUpstream(ctx)
+		case request.RelayTo:
+			ctx := x.beginTry()
+			go x.relay(ctx, a)
+		case request.AskOwner:
+			go x.ask(a)
+		case request.ReplayAnswer:
+			x.endReply()
+			x.replay(a.Answer)
+			return
+		case request.Reply:
+			x.endReply()
+			x.reply(a)
+			return
+		}
+	}
+}
+
+func (x *exchange) runUpstream(ctx context.Context) {
+	r := x.handler.upstream.run(ctx, x)
+	x.endTry()
+	x.handler.driver.upstreamDone(x.id, r)
+}
+
+func (x *exchange) relay(ctx context.Context, a request.RelayTo) {
+	r := x.handler.relays.run(ctx, x, a)
+	x.endTry()
+	x.handler.driver.relayDone(x.id, r)
+}
+
+func (x *exchange) ask(a request.AskOwner) {
+	r := x.handler.relays.resolve(x.inbound.Context(), a)
+	x.handler.driver.ownerAnswered(x.id, r)
+}
+
+// established is called when the head of an answer is about to be passed on.
+func (x *exchange) established() {
+	x.body.release()
+	if x.stream {
+		x.handler.driver.established(x.id)
+	}
+}
+
+// reply ends the request towards the caller.
+func (x *exchange) reply(a request.Reply) {
+	x.handler.metrics.requests.WithLabelValues(string(a.Outcome), string(a.Reason)).Inc()
+	if a.Outcome == request.OutcomeRan {
+		x.gate.finish()
+		return
+	}
+	if x.gate.close() {
+		// Part of the answer is with the caller: only a reset tells that it
+		// is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	writeRefusal(x.gate.w, a.Outcome, a.Reason, a.RetryAfter)
+}
+
+// replay answers with the kept answer of an earlier try.
+func (x *exchange) replay(a *request.Answer) {
+	x.handler.metrics.requests.WithLabelValues(string(request.OutcomeRan), "replay").Inc()
+	x.gate.close()
+	h := x.gate.w.Header()
+	h.Set(request.HeaderOutcome, string(request.OutcomeRan))
+	if a == nil {
+		x.gate.w.WriteHeader(http.StatusOK)
+		return
+	}
+	if a.ContentType != "" {
+		h.Set("Content-Type", a.ContentType)
+	}
+	x.gate.w.WriteHeader(a.Status)
+	_, _ = x.gate.w.Write(a.Body)
+}
--- /dev/null
+++ b/internal/agent/listener.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"crocusnotch/internal/keyring"
+	"crocusnotch/internal/request"
+	"crocusnotch/internal/routing"
+)
+
+const (
+	flowIdleTimeout  = 30 * time.Second
+	handshakeTimeout = 5 * time.Second
+	streamWindow     = 16 << 10 // bytes
+	connWindow       = 32 << 10 // bytes
+	maxHeaderBytes   = 32 << 10
+	// errCodeRejected tells a caller that the flow ended before any of its
+	// requests was looked at.
+	errCodeRejected = quic.ApplicationErrorCode(http3.ErrCodeRequestRejected)
+)
+
+// flowListener accepts flows and hands them to the HTTP/3 server of the
+// current epoch.
+type flowListener struct {
+	flows     *flowSet
+	handler   http.Handler
+	transport *quic.Transport
+	listener  *quic.Listener
+	metrics   *metrics
+
+	mu       sync.Mutex
+	current  *epoch
+	draining bool
+}
+
+// flowRefused is the outcome of a flow that is refused before its handshake.
+type flowRefused struct{ reason request.Reason }
+
+// Error implements error.
+func (e flowRefused) Error() string { return "flow refused: " + string(e.reason) }
+
+type listenerOptions struct {
+	socket  *socket
+	callers *tls.Certificate
+	ring    *keyring.Ring
+	token   func() (routing.Token, *keyring.Ring)
+	refuse  func() request.Reason
+	flows   *flowSet
+	handler http.Handler
+	metrics *metrics
+}
+
+func newFlowListener(o listenerOptions) (*flowListener, error) {
+	reset := quic.StatelessResetKey(o.ring.ResetKey())
+	l := &flowListener{flows: o.flows, handler: o.handler, metrics: o.metrics}
+	l.transport = &quic.Transport{
+		Conn:                  o.socket,
+		ConnectionIDLength:    routing.TokenSize,
+		ConnectionIDGenerator: &tokenSource{token: o.token},
+		StatelessResetKey:     &reset,
+		ConnContext: func(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+			if reason := o.refuse(); reason != request.ReasonNone {
+				o.metrics.refused.WithLabelValues(string(reason)).Inc()
+				return nil, flowRefused{reason}
+			}
+			o.metrics.flows.WithLabelValues("begun").Inc()
+			_, ring := o.token()
+			return o.flows.begin(ctx, ring.Signing()), nil
+		},
+	}
+	var err error
+	l.listener, err = l.transport.Listen(callerTLS(o.callers), flowConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for flows")
+	}
+	return l, nil
+}
+
+func callerTLS(cert *tls.Certificate) *tls.Config {
+	return http3.ConfigureTLSConfig(&tls.Config{
+		Certificates:           []tls.Certificate{*cert},
+		MinVersion:             tls.VersionTLS13,
+		SessionTicketsDisabled: true,
+	})
+}
+
+func flowConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIdleTimeout:                 flowIdleTimeout,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: connWindow,
+		MaxConnectionReceiveWindow:     connWindow,
+		DisablePathMTUDiscovery:        true,
+	}
+}
+
+// run accepts flows until ctx ends.
+func (l *flowListener) run(ctx context.Context) error {
+	for {
+		conn, err := l.listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept flow")
+		}
+		l.serve(conn)
+	}
+}
+
+func (l *flowListener) serve(conn *quic.Conn) {
+	if !l.flows.establish(conn) {
+		_ = conn.CloseWithError(errCodeZoneOut, string(request.ReasonZoneOut))
+		return
+	}
+	l.metrics.flows.WithLabelValues("established").Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current == nil {
+		l.current = newEpoch(l.listener.Addr(), l.handler)
+	}
+	select {
+	case l.current.conns <- conn:
+	case <-l.current.served:
+		// The server ended by itself; nothing of the flow was looked at.
+		_ = conn.CloseWithError(errCodeRejected, "")
+		l.current = nil
+	}
+	if l.draining {
+		// The handshake overlapped with the drain: GOAWAY at once.
+		l.endEpoch()
+	}
+}
+
+// setDraining starts or ends a drain. A drain sends GOAWAY on every flow.
+func (l *flowListener) setDraining(draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if draining && !l.draining {
+		l.endEpoch()
+	}
+	l.draining = draining
+}
+
+func (l *flowListener) endEpoch() {
+	if l.current == nil {
+		return
+	}
+	l.current.drain()
+	l.current = nil
+}
+
+// close ends all flows at once.
+func (l *flowListener) close() {
+	_ = l.listener.Close()
+	_ = l.transport.Close()
+	l.setDraining(true)
+}
--- /dev/null
+++ b/internal/agent/loop.go
@@ -0,0 +1,247 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
+	"crocusnotch/internal/keyring"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/request"
+	"crocusnotch/internal/routing"
+)
+
+const (
+	checkInterval   = 100 * time.Millisecond
+	expireInterval  = 10 * time.Second
+	leaveTimeout    = 2 * time.Second
+	announceTimeout = time.Second
+	// stateHold is the shortest time between two changes between ready and
+	// cold in the agent's record.
+	stateHold = time.Second
+)
+
+// errStopping is returned to an upstream while the agent ends.
+var errStopping = errors.New("agent: stopping")
+
+// announceEvent is an announcement on its way to the loop.
+type announceEvent struct {
+	announcement Announcement
+	answer       chan error
+}
+
+// loop owns the agent's state: what the upstream announced, whether the agent
+// drains, and what it says of itself. Others read the published copies.
+type loop struct {
+	agent     *Agent
+	announced chan announceEvent
+	ended     chan struct{}
+
+	// Published for other goroutines.
+	service     atomic.Pointer[config.Service]
+	refusal     atomic.Pointer[request.Reason] // for new flows
+	connections atomic.Int64
+	draining    atomic.Bool
+
+	listenerMu sync.Mutex
+	listener   *flowListener
+	closed     bool
+
+	// Owned by the loop's goroutine.
+	upstream   Announcement // zero while none is announced
+	leaseUntil time.Time
+	pinned     string // name of the service, fixed by the first announcement
+	stopping   bool
+	zoneOut    bool
+	cfg        *config.Fleet
+	members    []membership.Record
+	peers      []membership.Record
+	entries    []netip.AddrPort // live ones, sorted
+	// goneEntries are those that left the membership, and when.
+	goneEntries map[netip.AddrPort]time.Time
+	state       membership.State
+	published   membership.Record
+	stateSince  time.Time
+	expired     time.Time
+	pacer       *loadPacer
+}
+
+func newLoop(a *Agent) *loop {
+	l := &loop{
+		agent:     a,
+		announced: make(chan announceEvent),
+		ended:     make(chan struct{}),
+		cfg:       config.Empty(),
+		pacer:     newLoadPacer(rand.New(rand.NewPCG(a.incarnation, 1))),
+	}
+	reason := request.ReasonNoConfig
+	l.refusal.Store(&reason)
+	return l
+}
+
+// announce hands an announcement to the loop and returns its verdict.
+func (l *loop) announce(a Announcement) error {
+	e := announceEvent{announcement: a, answer: make(chan error, 1)}
+	select {
+	case l.announced <- e:
+		return <-e.answer
+	case <-l.ended:
+		return errStopping
+	}
+}
+
+func (l *loop) run(ctx context.Context) error {
+	defer close(l.ended)
+	changed := l.agent.deps.Fleet.Watch()
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	loads := time.NewTicker(loadInterval)
+	defer loads.Stop()
+	failed := make(chan error, 1)
+	stop := l.agent.stop
+	l.refresh(ctx, failed)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case <-changed:
+			l.refresh(ctx, failed)
+		case e := <-l.announced:
+			e.answer <- l.adopt(e.announcement)
+		case <-stop:
+			stop = nil
+			l.stopping = true
+			l.event("running to draining", "stop was asked for")
+			l.agent.driver.drain()
+			l.publish()
+		case <-check.C:
+			l.check()
+		case <-l.agent.flows.changed:
+		case <-loads.C:
+			l.sendLoads()
+		}
+		if l.stopping && l.done() {
+			l.leave(ctx)
+			return nil
+		}
+	}
+}
+
+// done reports whether the last flow and request have ended.
+func (l *loop) done() bool {
+	return l.agent.flows.len() == 0 && l.agent.driver.status().counts.Requests == 0
+}
+
+func (l *loop) leave(ctx context.Context) {
+	l.event("draining to left", "the last flow has ended")
+	c, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	l.agent.deps.Fleet.Leave(c)
+}
+
+// refresh adopts the present configuration and membership.
+func (l *loop) refresh(ctx context.Context, failed chan<- error) {
+	l.cfg = l.agent.deps.Fleet.Config()
+	l.members = l.agent.deps.Fleet.Members()
+	l.adoptService()
+	l.adoptZone()
+	l.adoptPeers()
+	l.adoptEntries()
+	l.publish()
+	if err := l.listen(ctx, failed); err != nil {
+		failed <- err
+	}
+}
+
+// listen opens the agent for flows as soon as the keys are known.
+func (l *loop) listen(ctx context.Context, failed chan<- error) error {
+	l.listenerMu.Lock()
+	defer l.listenerMu.Unlock()
+	if l.listener != nil || l.closed || l.cfg.Keys == nil {
+		return nil
+	}
+	a := l.agent
+	listener, err := newFlowListener(listenerOptions{
+		socket:  a.socket,
+		callers: a.deps.Callers,
+		ring:    l.cfg.Keys,
+		token:   l.token,
+		refuse:  l.refuse,
+		flows:   a.flows,
+		handler: a.handler.callers(),
+		metrics: a.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	listener.setDraining(l.draining.Load())
+	go func() {
+		if err := listener.run(ctx); err != nil && ctx.Err() == nil {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+func (l *loop) closeListener() {
+	l.listenerMu.Lock()
+	defer l.listenerMu.Unlock()
+	l.closed = true
+	if l.listener != nil {
+		l.listener.close()
+	}
+}
+
+// token returns what a new owner token says, and the keys to sign it.
+func (l *loop) token() (routing.Token, *keyring.Ring) {
+	v := l.agent.socket.view.Load()
+	return routing.Token{
+		Agent:       l.agent.settings.Data,
+		Service:     v.service,
+		Zone:        v.zone,
+		Incarnation: uint16(l.agent.incarnation),
+	}, v.ring
+}
+
+// refuse tells why a new flow is refused.
+func (l *loop) refuse() request.Reason {
+	if r := *l.refusal.Load(); r != request.ReasonNone {
+		return r
+	}
+	if int64(l.agent.flows.len()) >= l.connections.Load() {
+		return request.ReasonConnections
+	}
+	return request.ReasonNone
+}
+
+// check ends a lapsed lease and publishes what changed with time.
+func (l *loop) check() {
+	now := time.Now()
+	if l.present() && now.After(l.leaseUntil) {
+		l.event(fmt.Sprintf("%q to none", l.upstream.State), "the upstream's lease lapsed")
+		l.upstream = Announcement{}
+		l.tellEngine()
+	}
+	if now.Sub(l.expired) >= expireInterval {
+		l.expired = now
+		l.agent.socket.paths.expire(now)
+	}
+	l.publish()
+}
+
+func (l *loop) event(what, why string) {
+	now := time.Now()
+	l.agent.deps.Fleet.Events().Add(now, explain.SubjectUpstream, l.pinned, what, why)
+	l.agent.deps.Log.Info("state", "service", l.pinned, "what", what, "why", why)
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crocusnotch/internal/admission"
+	"crocusnotch/internal/request"
+	"crocusnotch/internal/telemetry"
+	"crocusnotch/internal/wire"
+)
+
+// dropReason tells why a datagram was dropped.
+type dropReason string
+
+const (
+	dropNoKeys    dropReason = "no-keys"
+	dropShort     dropReason = "too-short"
+	dropMalformed dropReason = "malformed"
+	dropKey       dropReason = "unknown-key"
+	dropMAC       dropReason = "bad-mac"
+	dropKind      dropReason = "kind"
+	dropService   dropReason = "wrong-service"
+	dropOwner     dropReason = "wrong-owner"
+	dropPaths     dropReason = "paths-full"
+	dropNoPath    dropReason = "no-path"
+	dropSend      dropReason = "send-failed"
+	dropLoad      dropReason = "bad-load-report"
+)
+
+func headerDrop(v wire.HeaderVerdict) dropReason {
+	switch v {
+	case wire.HeaderTooShort:
+		return dropShort
+	case wire.HeaderUnknownKey:
+		return dropKey
+	case wire.HeaderBadMAC:
+		return dropMAC
+	default:
+		return dropMalformed
+	}
+}
+
+// socketMetrics count datagrams.
+type socketMetrics struct {
+	packetsIn  prometheus.Counter
+	packetsOut prometheus.Counter
+	handedOn   prometheus.Counter
+	drops      map[dropReason]prometheus.Counter
+}
+
+func (m *socketMetrics) drop(r dropReason) { m.drops[r].Inc() }
+
+// metrics are the counters of one agent.
+type metrics struct {
+	socket    socketMetrics
+	flows     *prometheus.CounterVec // by event
+	refused   *prometheus.CounterVec // flows, by reason
+	requests  *prometheus.CounterVec // by outcome and reason
+	relays    *prometheus.CounterVec // by reason
+	retries   *prometheus.CounterVec // by reason
+	loadBytes *prometheus.CounterVec // by direction
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	drops := counterVec("agent_datagrams_dropped_total", "Datagrams dropped, by reason.", "reason")
+	packets := counterVec("agent_packets_total", "QUIC packets, by direction.", "direction")
+	m := &metrics{
+		flows:     counterVec("agent_flows_total", "Flows, by event.", "event"),
+		refused:   counterVec("agent_flows_refused_total", "Flows refused, by reason.", "reason"),
+		requests:  counterVec("agent_requests_total", "Requests ended, by outcome and reason.", "outcome", "reason"),
+		relays:    counterVec("agent_relays_total", "Requests relayed to a peer agent, by reason.", "reason"),
+		retries:   counterVec("agent_retries_total", "Requests tried again, by reason.", "reason"),
+		loadBytes: counterVec("agent_load_bytes_total", "Bytes of load reports, by direction.", "direction"),
+	}
+	r.MustRegister(drops, packets, m.flows, m.refused, m.requests, m.relays, m.retries, m.loadBytes)
+	m.socket = socketMetrics{
+		packetsIn:  packets.WithLabelValues("in"),
+		packetsOut: packets.WithLabelValues("out"),
+		handedOn:   packets.WithLabelValues("handed-on"),
+		drops:      map[dropReason]prometheus.Counter{},
+	}
+	for _, d := range dropReasons() {
+		m.socket.drops[d] = drops.WithLabelValues(string(d))
+	}
+	for _, reason := range request.Reasons() {
+		m.refused.WithLabelValues(string(reason))
+		m.relays.WithLabelValues(string(reason))
+		m.retries.WithLabelValues(string(reason))
+	}
+	return m
+}
+
+// registerGauges publishes the present state of the agent.
+func (a *Agent) registerGauges() {
+	load := func(pick func(admission.Load) int) func() float64 {
+		return func() float64 { return float64(pick(a.driver.status().load)) }
+	}
+	gauge := func(name, help string, value func() float64) {
+		a.deps.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: telemetry.Namespace, Name: name, Help: help,
+		}, value))
+	}
+	gauge("agent_flows", "Live flows.", func() float64 { return float64(a.flows.len()) })
+	gauge("agent_paths", "Callers with a return path.", func() float64 { return float64(a.socket.paths.len()) })
+	gauge("agent_busy", "Slots in use.", load(func(l admission.Load) int { return l.Busy }))
+	gauge("agent_limit", "Requests allowed at once now.", load(func(l admission.Load) int { return l.Limit }))
+	gauge("agent_queued", "Requests that wait for a slot.", load(func(l admission.Load) int { return l.Queued }))
+}
+
+func dropReasons() []dropReason {
+	return []dropReason{
+		dropNoKeys, dropShort, dropMalformed, dropKey, dropMAC, dropKind, dropService,
+		dropOwner, dropPaths, dropNoPath, dropSend, dropLoad,
+	}
+}
+
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: telemetry.Namespace, Name: name, Help: help,
+	}, labels)
+}
--- /dev/null
+++ b/internal/agent/paths.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	pathShards = 64
+	// pathIdle is how long a caller's return path is kept after its last
+	// packet. It is longer than the idle timeout of a flow.
+	pathIdle = 2 * flowIdleTimeout
+	// pathsPerFlow bounds the table in relation to the announced connections.
+	pathsPerFlow = 4
+	minPaths     = 4096
+)
+
+// path is how answers reach a caller.
+type path struct {
+	entry       netip.AddrPort // the entry that last brought a packet
+	destination netip.AddrPort // the service address that the caller used
+	seen        time.Time
+}
+
+// pathTable maps the addresses of callers to their return paths. It is safe
+// for concurrent use and bounded.
+type pathTable struct {
+	shards [pathShards]pathShard
+}
+
+type pathShard struct {
+	mu    sync.Mutex
+	paths map[netip.AddrPort]path
+	bound int
+}
+
+func newPathTable() *pathTable {
+	t := &pathTable{}
+	for i := range t.shards {
+		t.shards[i].paths = map[netip.AddrPort]path{}
+		t.shards[i].bound = minPaths / pathShards
+	}
+	return t
+}
+
+// setBound sizes the table for the number of flows.
+func (t *pathTable) setBound(flows int) {
+	bound := max(minPaths, flows*pathsPerFlow) / pathShards
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		s.bound = bound
+		s.mu.Unlock()
+	}
+}
+
+func (t *pathTable) shard(caller netip.AddrPort) *pathShard {
+	return &t.shards[hashAddr(caller)%pathShards]
+}
+
+// put records the path of a caller. It returns false when the table is full
+// and the packet does not belong to a known flow.
+func (t *pathTable) put(caller netip.AddrPort, p path, owned bool) bool {
+	s := t.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.paths[caller]
+	if !known && !owned && len(s.paths) >= s.bound {
+		return false
+	}
+	// Packets with an owner token come from callers that finished a handshake;
+	// they get a second share so that a flood of first packets can't cut them.
+	if !known && len(s.paths) >= 2*s.bound {
+		return false
+	}
+	s.paths[caller] = p
+	return true
+}
+
+func (t *pathTable) get(caller netip.AddrPort) (path, bool) {
+	s := t.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.paths[caller]
+	return p, ok
+}
+
+// expire removes the paths without a packet since the time before now by
+// pathIdle.
+func (t *pathTable) expire(now time.Time) {
+	for i := range t.shards {
+		t.shards[i].expire(now.Add(-pathIdle))
+	}
+}
+
+func (s *pathShard) expire(before time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for caller, p := range s.paths {
+		if p.seen.Before(before) {
+			delete(s.paths, caller)
+		}
+	}
+}
+
+func (t *pathTable) len() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		n += len(s.paths)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+func hashAddr(a netip.AddrPort) uint64 {
+	var b [18]byte
+	ip := a.Addr().As16()
+	copy(b[:], ip[:])
+	b[16], b[17] = byte(a.Port()>>8), byte(a.Port())
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/agent/publish.go
@@ -0,0 +1,116 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/request"
+)
+
+// reason tells why new flows are refused.
+func (l *loop) reason() request.Reason {
+	switch {
+	case l.zoneOut:
+		return request.ReasonZoneOut
+	case l.stopping, l.upstream.State == "leaving":
+		return request.ReasonDraining
+	case !l.present():
+		return request.ReasonNoUpstream
+	case l.service.Load() == nil || l.cfg.Keys == nil:
+		return request.ReasonNoConfig
+	}
+	return request.ReasonNone
+}
+
+// publish makes the loop's state visible to the other goroutines and to the
+// fleet.
+func (l *loop) publish() {
+	reason := l.reason()
+	l.refusal.Store(&reason)
+	l.connections.Store(int64(l.upstream.Connections))
+	l.publishView(reason)
+	l.publishDraining(reason == request.ReasonDraining)
+	l.publishRecord(reason)
+}
+
+func (l *loop) publishDraining(draining bool) {
+	l.draining.Store(draining)
+	l.listenerMu.Lock()
+	defer l.listenerMu.Unlock()
+	if l.listener != nil {
+		l.listener.setDraining(draining)
+	}
+}
+
+func (l *loop) publishView(reason request.Reason) {
+	v := &sharedView{
+		ring:      l.cfg.Keys,
+		refusing:  reason != request.ReasonNone,
+		entries:   l.entries,
+		goneEntry: l.goneEntries,
+		takes:     map[netip.AddrPort]bool{},
+	}
+	if service := l.service.Load(); service != nil {
+		v.service = service.ID
+	}
+	if zone := l.cfg.ByZone[l.agent.settings.Zone]; zone != nil {
+		v.zone = zone.ID
+	}
+	for _, p := range l.peers {
+		v.takes[p.Addr] = true
+	}
+	l.agent.socket.view.Store(v)
+}
+
+// recordState returns what the fleet is told.
+func (l *loop) recordState(reason request.Reason, cold bool) membership.State {
+	switch {
+	case reason != request.ReasonNone:
+		return membership.StateDraining
+	case cold:
+		return membership.StateCold
+	}
+	return membership.StateReady
+}
+
+func (l *loop) publishRecord(reason request.Reason) {
+	now := time.Now()
+	state := l.recordState(reason, l.agent.driver.status().load.Cold)
+	calm := l.state != membership.StateDraining && state != membership.StateDraining
+	if calm && state != l.state && now.Sub(l.stateSince) < stateHold {
+		state = l.state
+	}
+	next := l.record(state)
+	if next == l.published {
+		return
+	}
+	l.published = next
+	if state != l.state {
+		l.state, l.stateSince = state, now
+	}
+	l.agent.deps.Fleet.Update(func(r *membership.Record) {
+		r.Relay = next.Relay
+		r.Service = next.Service
+		r.Zone = next.Zone
+		r.State = next.State
+		r.Slots = next.Slots
+		r.Connections = next.Connections
+	})
+}
+
+func (l *loop) record(state membership.State) membership.Record {
+	r := membership.Record{
+		Relay:       l.agent.settings.Relay,
+		State:       state,
+		Slots:       clamp16(l.upstream.Slots),
+		Connections: uint32(l.upstream.Connections),
+	}
+	if service := l.service.Load(); service != nil {
+		r.Service = service.ID
+	}
+	if zone := l.cfg.ByZone[l.agent.settings.Zone]; zone != nil {
+		r.Zone = zone.ID
+	}
+	return r
+}
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/request"
+	"crocusnotch/internal/wire"
+)
+
+const (
+	// resolvePath answers what became of a key.
+	resolvePath = "/crocus/v1/resolve"
+	// maxResolveBody holds an answer of the ledger in base64 with its frame.
+	maxResolveBody    = 2*request.MaxAnswerBytes + 4<<10
+	resolveTimeout    = 2 * time.Second
+	relayIdleTimeout  = 5 * time.Minute
+	relayPingInterval = 5 * time.Second
+	relayPingTimeout  = 3 * time.Second
+	// maxRelayStreams bounds the requests of one peer at a time.
+	maxRelayStreams = 10_000
+)
+
+// relayClient sends requests and questions to peer agents over HTTP/2 and
+// mutual TLS.
+type relayClient struct {
+	transport *http.Transport
+}
+
+func newRelayClient(n Network, tls *wire.MutualTLS) *relayClient {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	return &relayClient{transport: &http.Transport{
+		DialContext:        dialFunc(n),
+		TLSClientConfig:    tls.Client("h2"),
+		Protocols:          protocols,
+		DisableCompression: true,
+		IdleConnTimeout:    relayIdleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: relayPingInterval,
+			PingTimeout:     relayPingTimeout,
+		},
+	}}
+}
+
+// run relays the request once.
+func (c *relayClient) run(ctx context.Context, x *exchange, to request.RelayTo) request.Result {
+	if !x.body.replayable() {
+		return request.Result{Outcome: request.OutcomeNotRun, Reason: request.ReasonRelayFailed}
+	}
+	a := &attempt{
+		transport:   c.transport,
+		outbound:    x.outbound("https", to.Peer.Addr.String()),
+		atMostOnce:  x.atMost,
+		stream:      x.stream,
+		refusal:     peerRefusal,
+		started:     x.established,
+		failed:      request.ReasonRelayFailed,
+		lost:        request.ReasonRelayFailed,
+		keepOutcome: true,
+	}
+	h := a.outbound.Header
+	h.Set(request.HeaderRelays, request.FormatVia(to.Via))
+	h.Set(request.HeaderTarget, to.Peer.String())
+	if n := x.inbound.Header.Get(request.HeaderAttempt); n != "" {
+		h.Set(request.HeaderAttempt, n)
+	}
+	r := a.run(ctx, x.gate)
+	// What the peer did not say itself, it may still know.
+	r.Lost = r.Outcome == request.OutcomeUnknown && !a.refused
+	return r
+}
+
+// peerRefusal recognizes an answer of the peer that is not its upstream's.
+func peerRefusal(resp *http.Response) (request.Result, bool) {
+	outcome := request.Outcome(resp.Header.Get(request.HeaderOutcome))
+	if outcome != request.OutcomeNotRun && outcome != request.OutcomeUnknown {
+		return request.Result{}, false
+	}
+	return request.Result{Outcome: outcome, Reason: request.Reason(resp.Header.Get(request.HeaderReason))}, true
+}
+
+// resolve asks another agent what became of a key.
+func (c *relayClient) resolve(ctx context.Context, a request.AskOwner) request.Resolution {
+	lost := request.Resolution{State: request.ResolvedUnknown, Reason: request.ReasonOwnerLost}
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	body, err := json.Marshal(a.Query)
+	if err != nil {
+		return lost
+	}
+	url := "https://" + a.Owner.Addr.String() + resolvePath
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return lost
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return lost
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out request.Resolution
+	limited := io.LimitReader(resp.Body, maxResolveBody)
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(limited).Decode(&out) != nil {
+		return lost
+	}
+	return out
+}
+
+func (c *relayClient) close() { c.transport.CloseIdleConnections() }
+
+// relayServer takes requests and questions from peer agents.
+type relayServer struct {
+	server *http.Server
+	driver *driver
+}
+
+func newRelayServer(d *driver, peers http.Handler, tls *wire.MutualTLS) *relayServer {
+	s := &relayServer{driver: d}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+resolvePath, s.resolve)
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	s.server = &http.Server{
+		Handler:           relayRoutes(mux, peers),
+		TLSConfig:         tls.Server("h2"),
+		Protocols:         protocols,
+		ReadHeaderTimeout: handshakeTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxRelayStreams},
+	}
+	return s
+}
+
+// relayRoutes keeps the mux away from relayed paths, which it would clean.
+func relayRoutes(own, peers http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == resolvePath {
+			own.ServeHTTP(w, r)
+			return
+		}
+		peers.ServeHTTP(w, r)
+	})
+}
+
+// serve runs until the server is closed.
+func (s *relayServer) serve(l net.Listener) error {
+	err := s.server.ServeTLS(l, "", "")
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve relays")
+}
+
+func (s *relayServer) resolve(w http.ResponseWriter, r *http.Request) {
+	var q request.Query
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxResolveBody)).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.driver.resolve(q))
+}
