Let the agent open its TCP listeners

Wrap of go-faster/errors returns an error also for a nil error, so hostNetwork.Listen failed always: every agent ended with relay: listen. The agent's tests use listeners in memory and could not see it; the test of the whole path in internal/experiment, which runs agents on loopback, does.

--- a/internal/agent/network.go
+++ b/internal/agent/network.go
@@ -45,7 +45,10 @@
 
 func (h *hostNetwork) Listen(addr netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
-	return l, errors.Wrap(err, "listen")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return l, nil
 }
 
 func (h *hostNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
