Check replayed answers and count what the fabric hands on

A replay whose answer was not kept counts as ran/answer-not-kept, not as a short success. The fabric keeps when it last handed a packet to each entry, for the measure of a zone that is taken out.

--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -130,6 +130,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	notRun := refuse(503, request.OutcomeNotRun, request.ReasonNoSlot)
+	replayed := func(w http.ResponseWriter, r *http.Request) {
+		q, _ := payload.ParseQuery(r.URL.Query())
+		w.Header().Set(request.HeaderOutcome, string(request.OutcomeRan))
+		body := make([]byte, testSize)
+		_, _ = payload.NewReader(q.ID).Read(body)
+		_, _ = w.Write(body)
+	}
 	unknown := refuse(502, request.OutcomeUnknown, request.ReasonUpstreamFailed)
 	cases := []struct {
 		name     string
@@ -146,6 +153,8 @@
 		{"never repeats after unknown", post, []http.HandlerFunc{unknown, whole}, "unknown/upstream-failed", 1, nil},
 		{"idempotent repeats after unknown", get, []http.HandlerFunc{unknown, whole}, "ran", 2, nil},
 		{"asks the owner after a reset", post, []http.HandlerFunc{abort, unknown}, "unknown/upstream-failed", 2, func(t Totals) uint64 { return t.Refusals["unknown/no-answer"] }},
+		{"replayed", post, []http.HandlerFunc{notRun, replayed}, "ran", 2, nil},
+		{"replayed without the answer", post, []http.HandlerFunc{refuse(200, request.OutcomeRan, "")}, "ran/answer-not-kept", 1, nil},
 		{"gives up", post, []http.HandlerFunc{notRun}, "not-run/no-slot", maxAttempts, nil},
 	}
 	for _, c := range cases {
--- a/internal/standin/caller/counts.go
+++ b/internal/standin/caller/counts.go
@@ -27,21 +27,21 @@
 
 // Totals are the sums over all callers.
 type Totals struct {
-	FlowsOpened    uint64            `json:"flowsOpened"`
-	FlowsFailed    uint64            `json:"flowsFailed"` // handshakes that did not complete
-	FlowsMoved     uint64            `json:"flowsMoved"`  // replaced after GOAWAY, make before break
-	FlowsBroken    map[Cause]uint64  `json:"flowsBroken"`
-	BrokenBy       map[string]uint64 `json:"brokenBy"` // error to flows
-	StreamsOpened  uint64            `json:"streamsOpened"`
-	StreamsBroken  map[Cause]uint64  `json:"streamsBroken"`
-	Requests       uint64            `json:"requests"` // logical requests, without retries
-	Attempts       uint64            `json:"attempts"`
-	Outcomes       map[string]uint64 `json:"outcomes"` // final outcome and reason
-	Refusals       map[string]uint64 `json:"refusals"` // outcome and reason of each attempt that was refused
-	Crossed        uint64            `json:"crossed"`
-	Truncated      uint64            `json:"truncated"` // short answers without an error
-	WrongService   uint64            `json:"wrongService"`
-	LatenciesMicro *hdrhistogram.Histogram
+	FlowsOpened    uint64                  `json:"flowsOpened"`
+	FlowsFailed    uint64                  `json:"flowsFailed"` // handshakes that did not complete
+	FlowsMoved     uint64                  `json:"flowsMoved"`  // replaced after GOAWAY, make before break
+	FlowsBroken    map[Cause]uint64        `json:"flowsBroken"`
+	BrokenBy       map[string]uint64       `json:"brokenBy"` // error to flows
+	StreamsOpened  uint64                  `json:"streamsOpened"`
+	StreamsBroken  map[Cause]uint64        `json:"streamsBroken"`
+	Requests       uint64                  `json:"requests"` // logical requests, without retries
+	Attempts       uint64                  `json:"attempts"`
+	Outcomes       map[string]uint64       `json:"outcomes"` // final outcome and reason
+	Refusals       map[string]uint64       `json:"refusals"` // outcome and reason of each attempt that was refused
+	Crossed        uint64                  `json:"crossed"`
+	Truncated      uint64                  `json:"truncated"` // short answers without an error
+	WrongService   uint64                  `json:"wrongService"`
+	LatenciesMicro *hdrhistogram.Histogram `json:"-"`
 }
 
 // Counters collects the totals. It is safe for concurrent use.
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -32,6 +32,8 @@
 	Addr  netip.AddrPort // where its packets go
 	Zone  string
 	Delay time.Duration // one way
+
+	last *atomic.Int64 // when a packet was last sent, Unix nanoseconds
 }
 
 // Conditions are the faults of the network, as shares from 0 to 1.
@@ -57,6 +59,7 @@
 	entries    atomic.Pointer[[]Entry]
 	conditions atomic.Pointer[Conditions]
 	mu         sync.Mutex // serialises changes of entries
+	lastSent   sync.Map   // address of an entry to *atomic.Int64, Unix nanoseconds
 
 	toEntries, toCallers, lost, noEntry, malformed atomic.Uint64
 }
@@ -109,9 +112,20 @@
 
 // Add puts an entry behind the fabric, in place of one with the same address.
 func (f *Fabric) Add(e Entry) {
+	v, _ := f.lastSent.LoadOrStore(e.Addr, new(atomic.Int64))
+	e.last = v.(*atomic.Int64)
 	f.change(e.Addr, func(list []Entry) []Entry { return append(list, e) })
 }
 
+// LastSent returns when a packet was last handed to the entry; the zero time
+// when none was.
+func (f *Fabric) LastSent(a netip.AddrPort) time.Time {
+	if v, ok := f.lastSent.Load(a); ok {
+		return time.Unix(0, v.(*atomic.Int64).Load())
+	}
+	return time.Time{}
+}
+
 // Remove takes an entry away.
 func (f *Fabric) Remove(a netip.AddrPort) {
 	f.change(a, func(list []Entry) []Entry { return list })
@@ -206,6 +220,7 @@
 		packet := append(append(make([]byte, 0, len(header)+n), header...), buf[:n]...)
 		f.deliver(rnd, e.Delay, &f.toEntries, func() {
 			_, _ = f.returns.WriteToUDPAddrPort(packet, e.Addr)
+			e.last.Store(time.Now().UnixNano())
 		})
 	}
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -233,3 +233,11 @@
 		}
 	}
 }
+
+// InColdStart reports whether the upstream bears less than all its slots now,
+// announced or not.
+func (u *Upstream) InColdStart() bool {
+	u.capacity.mu.Lock()
+	defer u.capacity.mu.Unlock()
+	return u.capacity.isCold(time.Now())
+}
