Add crocus-try: the whole fleet in one process on loopback

One program runs the store, the fabric, entries, agents, upstreams and callers, drives load and faults by a scenario, and reports what callers saw.

--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/standin/caller"
+)
+
+// Nets of concurrent test processes; each takes nets of /22 of its own.
+const (
+	testNets     = 60
+	testNetSize  = 4
+	firstTestNet = 8
+)
+
+// testNet keeps concurrent test runs on one machine apart.
+func testNet() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 24, byte(firstTestNet + testNetSize*(os.Getpid()%testNets)), 0})
+}
+
+func testScenario() *Scenario {
+	return &Scenario{
+		Name: "test", Seed: 1, DurationSeconds: 4, Region: "r", Zones: []string{"a", "b"},
+		Entries: 2, LoadFactor: 0.3,
+		Services: []Service{{
+			Name: "bells", Slots: 5, Flows: 5, Connections: 100, Speeds: []float64{1, 2}, WorkMillis: 20,
+			ColdShare: 0.5, WarmUpMillis: 200, StreamShare: 0.5,
+			Classes: []Class{
+				{Name: "ring", RunAtMostOnce: true, Share: 0.5, Bytes: 200, Work: 1, DeadlineMillis: 10_000},
+				{Name: "status", Share: 0.5, Bytes: 40_000, Work: 1, DeadlineMillis: 10_000},
+			},
+		}},
+	}
+}
+
+// The whole path: callers, fabric, entries, agents and upstreams, while an
+// entry is replaced.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	s := testScenario()
+	s.Steps = []Step{{AtSeconds: 0.5, Do: ActionReplaceEntry}}
+	is.NoErr(s.check())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	r, err := Run(ctx, s, Options{
+		Net: testNet(), Scale: 1, Log: slog.New(slog.DiscardHandler), Progress: io.Discard,
+	})
+	is.NoErr(err)
+	is.Equal(r.FlowsOpen, 10)
+	is.Equal(r.FlowsBroken, map[caller.Cause]uint64{"planned": 0, "crash": 0, "zone": 0})
+	is.Equal(r.StreamsBroken, map[caller.Cause]uint64{"planned": 0, "crash": 0, "zone": 0})
+	is.Equal(r.StreamsOpened, uint64(5))
+	is.True(r.Outcomes["ran"] > 0)
+	is.Equal(r.DoubledRuns, uint64(0))
+	is.Equal(r.FalseNotRun, uint64(0))
+	is.Equal(r.WrongService+r.Crossed+r.Truncated, uint64(0))
+	is.Equal(r.AfterLeaving, uint64(0))
+	is.Equal(len(r.Faults), 0)
+
+	dir := t.TempDir()
+	is.NoErr(r.Write(filepath.Join(dir, "report.json")))
+	is.NoErr(r.Plot(filepath.Join(dir, "plot.svg")))
+}
+
+func TestProfilesAreValid(t *testing.T) {
+	for _, name := range []string{"mtkvari", "huron"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := Profile(name)
+			is.NoErr(err)
+			is.Equal(s.Name, name)
+			last := s.Steps[len(s.Steps)-1]
+			is.True(last.AtSeconds < s.DurationSeconds)
+			for _, service := range s.Services {
+				var share float64
+				for _, c := range service.Classes {
+					share += c.Share
+				}
+				is.Equal(share, 1.0)
+			}
+		})
+	}
+}
+
+func TestScenarioFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		step Step
+		want string
+	}{
+		{"zone", Step{Do: ActionZoneOut, Zone: "c"}, "steps[0]: zone is not one of zones"},
+		{"service", Step{Do: ActionKillAgent, Service: "x"}, "steps[0]: service is not one of services"},
+		{"endpoint", Step{Do: ActionColdAgain, Service: "bells", Index: 2}, "steps[0]: index is not an endpoint of the service"},
+		{"entry", Step{Do: ActionKillEntry, Index: 2}, "steps[0]: index is not an entry"},
+		{"factor", Step{Do: ActionLoad}, "steps[0]: factor is required"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := testScenario()
+			s.Steps = []Step{c.step}
+			err := s.check()
+			is.True(err != nil)
+			is.Equal(err.Error(), c.want)
+		})
+	}
+}
+
+func TestImbalanceCountsOnlyUpstreamsInService(t *testing.T) {
+	is := is.New(t)
+	r := &run{world: &World{scenario: testScenario()}, elapsed: 2 * imbalanceWindow}
+	add := func(name string, use float64, inService bool) {
+		s := &series{name: name, service: "bells"}
+		for at := time.Duration(0); at < r.elapsed; at += sampleInterval {
+			s.samples = append(s.samples, sample{at: at, use: use, inService: inService})
+		}
+		r.order = append(r.order, s)
+	}
+	add("a", 0.75, true)
+	add("b", 0.25, true)
+	add("c", 0, false)
+	windowed, whole := r.imbalance()
+	is.Equal(windowed["bells"], 1.5)
+	is.Equal(whole["bells"], 1.5)
+}
