--- a/internal/entry/throughput_test.go
+++ b/internal/entry/throughput_test.go
@@ -39,8 +39,8 @@
 		os.Exit(m.Run())
 	}
 	forwarders := map[string]func(){
-		bareForwarder:    forwardUnchanged(listenPlain),
-		batchedForwarder: forwardUnchanged(listenUDP),
+		bareForwarder:    runBare,
+		batchedForwarder: runBatched,
 		entryForwarder:   runEntry,
 	}
 	go forwarders[role]()
@@ -61,31 +61,45 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// forwardUnchanged sends every datagram on as it came, with the entry's number
-// of goroutines.
-func forwardUnchanged(listen func(netip.AddrPort) (socket, error)) func() {
-	return func() {
-		in, err := listen(fabricAddr)
-		if err != nil {
-			panic(err)
-		}
-		out, err := listen(dataAddr)
-		if err != nil {
-			panic(err)
-		}
-		c := newCounters(prometheus.NewRegistry())
-		for range readersPerSocket {
-			go func() {
-				_ = transfer(in, out, newBatch(0), c, func(m *message) {
-					m.out = m.buffer[:m.size]
-					m.to = agentAddr
-				})
-			}()
-		}
+// runBare forwards every datagram unchanged, as plain Go code does, with the
+// entry's number of goroutines.
+func runBare() {
+	in := mustListen(fabricAddr)
+	out := mustListen(dataAddr)
+	for range readersPerSocket {
+		go func() {
+			buffer := make([]byte, datagramSize)
+			for {
+				n, _, err := in.ReadFromUDPAddrPort(buffer)
+				if err != nil {
+					panic(err)
+				}
+				_, _ = out.WriteToUDPAddrPort(buffer[:n], agentAddr)
+			}
+		}()
 	}
 }
 
-func listenPlain(a netip.AddrPort) (socket, error) { return singles{mustListen(a)}, nil }
+// runBatched forwards every datagram unchanged through the entry's sockets.
+func runBatched() {
+	in, err := listenUDP(fabricAddr)
+	if err != nil {
+		panic(err)
+	}
+	out, err := listenUDP(dataAddr)
+	if err != nil {
+		panic(err)
+	}
+	c := newCounters(prometheus.NewRegistry())
+	for range readersPerSocket {
+		go func() {
+			_ = transfer(in, out, newBatch(0), c, func(m *message) {
+				m.out = m.buffer[:m.size]
+				m.to = agentAddr
+			})
+		}()
+	}
+}
 
 func runEntry() {
 	e, err := New(testSettings(), Deps{
