Fuzz the membership core against an oracle

Cause: the core had shell tests only; loss, reordering, pauses, skewed clocks and cuts were not combined. Change: a simulated network in virtual time and a stateful fuzzer with an oracle: an incarnation never falls, a dead one never returns, revisions never fall, and all views are equal 90 s after the last fault. Found and mended: an agent was not told of the end of peers at its first sync; it kept entries that were gone and peers that no entry knew; islands of entries of different zones never met; the own record made every digest differ; a dropped record could be learned again with an older incarnation. Conclusion: each fault that was found has a test of its own.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -73,8 +73,8 @@
 	return func() { b.net.cut(nil) }
 }
 
-// inZone tells the zone of an address by the name of its node.
-func (b *bench) inZone(zone string, a netip.AddrPort) bool { return b.zoneOf[a] == zone }
+// inZone tells the zone of an address; the network is locked by its caller.
+func (b *bench) inZone(zone string, a netip.AddrPort) bool { return b.net.zones[a] == zone }
 
 const pauseLength = 20 * time.Second
 
--- a/internal/fleet/memnet_test.go
+++ b/internal/fleet/memnet_test.go
@@ -33,10 +33,11 @@
 	conns   map[netip.AddrPort]*memConn
 	listens map[netip.AddrPort]*memListener
 	blocked func(from, to netip.AddrPort) bool
+	zones   map[netip.AddrPort]string
 }
 
 func newMemNet() *memNet {
-	return &memNet{conns: map[netip.AddrPort]*memConn{}, listens: map[netip.AddrPort]*memListener{}}
+	return &memNet{conns: map[netip.AddrPort]*memConn{}, listens: map[netip.AddrPort]*memListener{}, zones: map[netip.AddrPort]string{}}
 }
 
 func (m *memNet) cut(blocked func(from, to netip.AddrPort) bool) {
@@ -142,12 +143,12 @@
 	}
 }
 
-func (m *memNet) open(a netip.AddrPort) (*memConn, *memListener) {
+func (m *memNet) open(a netip.AddrPort, zone string) (*memConn, *memListener) {
 	c := &memConn{m: m, addr: a, inbox: make(chan []byte, 4096), closed: make(chan struct{})}
 	l := &memListener{accepts: make(chan net.Conn), closed: make(chan struct{})}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.conns[a], m.listens[a] = c, l
+	m.conns[a], m.listens[a], m.zones[a] = c, l, zone
 	return c, l
 }
 
@@ -173,19 +174,6 @@
 	return nil
 }
 
-func (s *memStore) Get(_ context.Context, id config.ID) (config.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.enter(); err != nil {
-		return config.Object{}, err
-	}
-	o, ok := s.objects[id]
-	if !ok {
-		return config.Object{}, platform.ErrNotFound
-	}
-	return o, nil
-}
-
 func (s *memStore) since(from uint64, kinds []string) platform.Snapshot {
 	out := platform.Snapshot{Revision: s.revision}
 	for _, o := range s.objects {
@@ -297,7 +285,6 @@
 	nodes  map[string]*running
 	starts int
 	seeds  []netip.AddrPort
-	zoneOf map[netip.AddrPort]string
 }
 
 type running struct {
@@ -313,7 +300,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, net: newMemNet(), store: newMemStore(), nodes: map[string]*running{}, zoneOf: map[netip.AddrPort]string{}}
+	b := &bench{t: t, net: newMemNet(), store: newMemStore(), nodes: map[string]*running{}}
 	b.store.put(t, config.KindKeys, config.KeysName, testKeys(1, 1))
 	for _, z := range testZones {
 		b.store.put(t, config.KindZone, z.Name, z)
@@ -353,12 +340,11 @@
 	b.starts++
 	id, zone, _ := strings.Cut(name, "@")
 	a := memberAddr(id)
-	b.zoneOf[a] = zone
 	self := membership.Record{Addr: a, Control: a, Role: membership.RoleEntry}
 	if id[0] == 'a' {
 		self.Role, self.Service, self.Slots, self.Connections = membership.RoleAgent, 7, 5, 2000
 	}
-	conn, l := b.net.open(a)
+	conn, l := b.net.open(a, zone)
 	o := Options{
 		Self: self, Zone: zone, Store: b.store, Conn: conn, Listener: l, Call: b.net.caller(a), Seeds: b.seeds,
 		Log:  slog.New(slog.NewJSONHandler(io.Discard, nil)),
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -32,7 +32,6 @@
 
 // Store is what a node needs of the platform's store.
 type Store interface {
-	Get(ctx context.Context, id config.ID) (config.Object, error)
 	List(ctx context.Context, kinds ...string) (platform.Snapshot, error)
 	Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...string) (platform.Snapshot, error)
 	Create(ctx context.Context, id config.ID, value []byte) (config.Object, error)
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -133,40 +133,50 @@
 }
 
 // rosterTurn writes the roster when it differs from the entries that should be
-// in it. Only the entry that ranks first does so. Listed entries that are not
-// known are asked first: they may belong to a part of the fleet that this
-// entry has not met.
+// in it. Only the entry that ranks first in its zone does so. Listed entries of
+// any zone that are not known are asked first: they may belong to a part of
+// the fleet that this entry has not met.
 func (n *Node) rosterTurn(ctx context.Context, r *rand.Rand) {
-	if desired := n.desiredRoster(); desired[0] != n.opts.Self.Control {
+	if n.desiredRoster()[0] != n.opts.Self.Control {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	id := config.ID{Kind: config.KindRoster, Name: n.opts.Zone}
-	current, err := n.opts.Store.Get(ctx, id)
-	missing := errors.Is(err, platform.ErrNotFound)
-	if err != nil && !missing {
-		n.noteStore("roster", err)
+	list, err := n.opts.Store.List(ctx, config.KindRoster)
+	n.noteStore("roster", err)
+	if err != nil {
 		return
 	}
-	n.noteStore("roster", nil)
-	listed := decodeRoster(&current)
+	own, listed := findRoster(list.Objects, n.opts.Zone)
 	if unknown := n.unknownOf(listed); len(unknown) > 0 && n.snapshotFromAny(ctx, r, unknown) {
 		return
 	}
 	desired := n.desiredRoster()
-	if slices.Equal(listed, desired) || desired[0] != n.opts.Self.Control {
+	if slices.Equal(decodeRoster(&own), desired) || desired[0] != n.opts.Self.Control {
 		return
 	}
-	n.writeRoster(ctx, id, missing, current.Revision, desired)
+	n.writeRoster(ctx, own.Revision, desired)
+}
+
+// findRoster returns the roster of the zone, with revision 0 when it does not
+// exist, and the addresses in all rosters.
+func findRoster(objects []config.Object, zone string) (own config.Object, listed []netip.AddrPort) {
+	for i := range objects {
+		if objects[i].Name == zone && !objects[i].Deleted {
+			own = objects[i]
+		}
+		listed = append(listed, decodeRoster(&objects[i])...)
+	}
+	return own, listed
 }
 
-func (n *Node) writeRoster(ctx context.Context, id config.ID, missing bool, revision uint64, entries []netip.AddrPort) {
+func (n *Node) writeRoster(ctx context.Context, revision uint64, entries []netip.AddrPort) {
+	id := config.ID{Kind: config.KindRoster, Name: n.opts.Zone}
 	value, err := config.Encode(config.Roster{Entries: entries})
 	if err != nil {
 		panic(err)
 	}
-	if missing {
+	if revision == 0 {
 		_, err = n.opts.Store.Create(ctx, id, value)
 	} else {
 		_, err = n.opts.Store.Update(ctx, id, revision, value)
@@ -207,7 +217,7 @@
 
 func decodeRoster(o *config.Object) []netip.AddrPort {
 	roster := config.Roster{}
-	if o.Deleted || config.Decode(o.Value, &roster) != nil {
+	if o.Deleted || len(o.Value) == 0 || config.Decode(o.Value, &roster) != nil {
 		return nil
 	}
 	return roster.Entries
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -12,10 +12,13 @@
 // Bounds of an agent's view of the entries.
 const (
 	watchersPerAgent = 3
-	maxKnownEntries  = 32
+	maxKnownEntries  = 16
 	fewEntries       = 8
 	missedReplies    = 3 // unanswered heartbeats after which a watcher is replaced
 	failedPeriods    = 30
+	confirmPeriods   = 4 // heartbeats for each peer that is shown to the watchers
+	auditPeriods     = 2 // heartbeats for each probe of a known entry
+	auditMisses      = 2 // unanswered probes after which an entry is forgotten
 )
 
 // watcher is an entry that watches this agent.
@@ -28,10 +31,14 @@
 
 // agentState is the part of the state that only agents have.
 type agentState struct {
-	follow   string
-	next     time.Time // of the next heartbeat
-	watchers map[netip.AddrPort]*watcher
-	failed   map[netip.AddrPort]time.Time // entries that did not answer, until when
+	follow    string
+	next      time.Time // of the next heartbeat
+	watchers  map[netip.AddrPort]*watcher
+	failed    map[netip.AddrPort]time.Time // entries that did not answer, until when
+	missed    map[netip.AddrPort]int       // unanswered probes of known entries
+	audited   netip.AddrPort               // known entry that was probed last
+	turn      int
+	confirmed netip.AddrPort // peer that was shown last
 }
 
 // resync asks all watchers for everything in scope again.
@@ -52,6 +59,41 @@
 	c.dropFailedWatchers(now)
 	c.chooseWatchers(now)
 	c.heartbeatAll(now)
+	c.agent.turn++
+	if c.agent.turn%auditPeriods == 0 {
+		c.auditEntry()
+	}
+}
+
+// auditEntry probes one of the known entries, so that the agent does not keep
+// entries that are gone. Those with unanswered probes come first.
+func (c *Core) auditEntry() {
+	m := c.nextAudit()
+	if m == nil {
+		return
+	}
+	if c.agent.missed[m.Addr] >= auditMisses {
+		delete(c.agent.missed, m.Addr)
+		c.table.drop(m)
+		c.out.Members = true
+		return
+	}
+	c.agent.missed[m.Addr]++
+	c.sendPing(c.nextProbe(), m.Control, &m.Record)
+}
+
+func (c *Core) nextAudit() *member {
+	for _, addr := range sortedAddrs(c.agent.missed) {
+		if m := c.table.get(addr); m != nil {
+			return m
+		}
+		delete(c.agent.missed, addr)
+	}
+	next := following(c.table.entries, c.agent.audited)
+	if next != nil {
+		c.agent.audited = next.Addr
+	}
+	return next
 }
 
 func (c *Core) dropFailedWatchers(now time.Time) {
@@ -142,17 +184,22 @@
 }
 
 func (c *Core) heartbeatAll(now time.Time) {
+	peer := c.peerToConfirm()
 	for _, w := range c.sortedWatchers() {
 		if m := c.table.get(w.addr); m != nil {
-			c.heartbeat(w, m)
+			c.heartbeat(w, m, peer)
 		}
 	}
 }
 
-func (c *Core) heartbeat(w *watcher, m *member) {
+func (c *Core) heartbeat(w *watcher, m *member, peer *Record) {
+	records := []Record{c.self}
+	if peer != nil {
+		records = append(records, *peer)
+	}
 	c.send(m.Control, &Message{
 		Kind:    KindHeartbeat,
-		Records: []Record{c.self},
+		Records: records,
 		Epoch:   w.epoch,
 		Seq:     w.seen,
 		Follow:  c.agent.follow,
@@ -160,6 +207,40 @@
 	})
 }
 
+// peerToConfirm returns now and then one of the peers as this agent sees it, in
+// the order of their addresses. A watching entry that sees it otherwise
+// verifies it: the entry that told of it may be gone with what it knew.
+func (c *Core) peerToConfirm() *Record {
+	if c.agent.turn%confirmPeriods != 0 {
+		return nil
+	}
+	peers := slices.Concat(c.table.agents, c.table.dead)
+	m := following(peers, c.agent.confirmed)
+	if m == nil {
+		return nil
+	}
+	c.agent.confirmed = m.Addr
+	return &m.Record
+}
+
+// following returns the member with the next higher address, or the lowest.
+func following(list []*member, a netip.AddrPort) *member {
+	var first, next *member
+	for _, m := range list {
+		if first == nil || m.Addr.Compare(first.Addr) < 0 {
+			first = m
+		}
+		after := a.Compare(m.Addr) < 0
+		if after && (next == nil || m.Addr.Compare(next.Addr) < 0) {
+			next = m
+		}
+	}
+	if next == nil {
+		return first
+	}
+	return next
+}
+
 // receiveReply takes what changed for this agent.
 func (c *Core) receiveReply(now time.Time, m *Message) {
 	w := c.agent.watchers[m.From]
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -123,6 +123,7 @@
 	c.entry.watched = map[netip.AddrPort]*watchedAgent{}
 	c.agent.watchers = map[netip.AddrPort]*watcher{}
 	c.agent.failed = map[netip.AddrPort]time.Time{}
+	c.agent.missed = map[netip.AddrPort]int{}
 	c.probes.pending = map[uint64]*probe{}
 	c.spread.records = map[netip.AddrPort]*rumor{}
 	c.spread.objects = map[config.ID]*rumor{}
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -3,7 +3,11 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 var testStart = time.Unix(1764800000, 0)
@@ -20,3 +24,132 @@
 	}
 	return New(Options{Self: self, Rand: rand.New(rand.NewPCG(1, uint64(n))), Timing: DefaultTiming()})
 }
+
+func testRecord(n int, role Role, state State, incarnation uint64, version uint32) Record {
+	a := testAddr(n)
+	r := Record{Addr: a, Control: a, Role: role, State: state, Incarnation: incarnation, Version: version}
+	if role == RoleAgent {
+		r.Service = 7
+	}
+	return r
+}
+
+// kinds lists the kinds of the messages sent to a control address.
+func kinds(out Output, to netip.AddrPort) []Kind {
+	var list []Kind
+	for _, s := range out.Sends {
+		if s.To == to {
+			list = append(list, s.Message.Kind)
+		}
+	}
+	return list
+}
+
+func TestDroppedIncarnationsDoNotComeBack(t *testing.T) {
+	is := is.New(t)
+	for _, state := range []State{StateReady, StateDead} {
+		c := testCore(RoleEntry, 1)
+		r := testRecord(2, RoleAgent, state, 50, 1)
+		c.Learn(testStart, []Record{r}, nil)
+		c.table.drop(c.table.get(r.Addr))
+		older := testRecord(2, RoleAgent, StateReady, 49, 9)
+		c.Learn(testStart, []Record{older}, nil)
+		is.Equal(c.table.get(r.Addr), nil)
+		same := testRecord(2, RoleAgent, StateReady, 50, 9)
+		c.Learn(testStart, []Record{same}, nil)
+		is.Equal(c.table.get(r.Addr) == nil, state.Final())
+	}
+}
+
+func TestEqualTablesHaveEqualDigests(t *testing.T) {
+	is := is.New(t)
+	x, y := testCore(RoleEntry, 1), testCore(RoleEntry, 2)
+	x.Learn(testStart, []Record{y.self, testRecord(3, RoleAgent, StateReady, 1, 1)}, nil)
+	y.Learn(testStart, []Record{x.self, testRecord(3, RoleAgent, StateReady, 1, 1), testRecord(4, RoleAgent, StateLeft, 1, 1)}, nil)
+	is.Equal(x.hashesOf(TableMembers), y.hashesOf(TableMembers))
+}
+
+func TestReportsOfRepairAreVerified(t *testing.T) {
+	is := is.New(t)
+	for _, state := range []State{StateSuspect, StateDead} {
+		c := testCore(RoleEntry, 1)
+		c.Learn(testStart, []Record{testRecord(2, RoleAgent, StateReady, 1, 1), testRecord(3, RoleEntry, StateReady, 1, 1)}, nil)
+		c.Tick(testStart)
+		c.Drain()
+		report := testRecord(2, RoleAgent, state, 1, 1)
+		c.Receive(testStart, &Message{Kind: KindPush, From: testAddr(3), Control: testAddr(3), Repair: true, Records: []Record{report}})
+		is.Equal(c.table.get(report.Addr).State, StateReady)
+		c.Tick(testStart.Add(time.Millisecond))
+		is.Equal(kinds(c.Drain(), report.Control), []Kind{KindPing})
+	}
+}
+
+func TestAgentShowsPeersThatTheEntryDoesNotKnow(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	agent, peer := testRecord(2, RoleAgent, StateReady, 1, 1), testRecord(3, RoleAgent, StateReady, 1, 1)
+	c.Tick(testStart)
+	c.Receive(testStart, &Message{Kind: KindHeartbeat, From: agent.Addr, Control: agent.Addr, Records: []Record{agent, peer}})
+	is.Equal(kinds(c.Drain(), peer.Control), []Kind{KindPing}) // kept, but probed at once
+}
+
+func TestFirstReplyTellsOfFinalRecords(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	agent, left := testRecord(2, RoleAgent, StateReady, 1, 1), testRecord(3, RoleAgent, StateLeft, 1, 2)
+	c.Learn(testStart, []Record{left}, nil)
+	c.Tick(testStart)
+	c.Drain()
+	c.Receive(testStart, &Message{Kind: KindHeartbeat, From: agent.Addr, Control: agent.Addr, Records: []Record{agent}})
+	out := c.Drain()
+	is.Equal(kinds(out, agent.Control), []Kind{KindReply})
+	is.True(slices.Contains(out.Sends[len(out.Sends)-1].Message.Records, left))
+}
+
+func TestMassSuspicionIsHeld(t *testing.T) {
+	is := is.New(t)
+	tests := []struct {
+		silent int // of 40 agents
+		dead   bool
+	}{
+		{silent: 4, dead: true},
+		{silent: 30, dead: false},
+	}
+	for _, test := range tests {
+		s := newSim(t, 1)
+		entry := s.add(RoleEntry, 0, 1)
+		for range 40 {
+			s.add(RoleAgent, 7, 1)
+		}
+		s.run(20 * time.Second)
+		for i := range test.silent {
+			s.nodes[1+i].up = false
+		}
+		s.run(10 * time.Second)
+		for i := range test.silent {
+			m := entry.core.table.get(s.nodes[1+i].core.self.Addr)
+			is.True(m.State >= StateSuspect)              // gets no new work
+			is.True(test.dead || m.State == StateSuspect) // most silent: still held
+			is.True(!test.dead || m.State == StateDead)   // few silent: dead in time
+		}
+	}
+}
+
+func TestPausedWatcherAccusesNobody(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1)
+	entry := s.add(RoleEntry, 0, 1)
+	for range 10 {
+		s.add(RoleAgent, 7, 1)
+	}
+	s.run(20 * time.Second)
+	entry.paused = s.now.Add(30 * time.Second)
+	s.queue = nil // the socket buffer overflowed
+	s.run(30 * time.Second)
+	s.queue = nil
+	s.run(10 * time.Second)
+	for _, n := range s.nodes[1:] {
+		is.Equal(entry.core.table.get(n.core.self.Addr).Record, n.core.self)
+		is.Equal(n.core.self.Version, uint32(1)) // had nothing to refute
+	}
+}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -52,7 +52,7 @@
 // receiveHeartbeat notes that the agent lives and answers with what changed
 // for it since its last heartbeat.
 func (c *Core) receiveHeartbeat(now time.Time, m *Message) {
-	if c.self.Role != RoleEntry || len(m.Records) != 1 || m.Records[0].Addr != m.From {
+	if c.self.Role != RoleEntry || len(m.Records) == 0 || m.Records[0].Addr != m.From {
 		return
 	}
 	said := m.Records[0]
@@ -71,6 +71,7 @@
 	if newer != nil {
 		reply.Records = append(reply.Records, *newer)
 	}
+	reply.Records = append(reply.Records, c.confirm(now, m.Records[1:])...)
 	if m.Needy {
 		for _, e := range c.randomEntries(entriesInReply, netip.AddrPort{}) {
 			reply.Records = append(reply.Records, e.Record)
@@ -84,6 +85,27 @@
 	c.send(m.Control, reply)
 }
 
+// confirm compares records that an agent shows with the own ones. Those of
+// members that are unknown here are kept and probed. It returns the newer ones.
+func (c *Core) confirm(now time.Time, shown []Record) []Record {
+	var newer []Record
+	for i := range shown {
+		r := &shown[i]
+		if c.isDoubtful(r) {
+			c.doubt(r)
+			continue
+		}
+		unknown := c.table.get(r.Addr) == nil
+		if known := c.mergeRecord(now, r, CauseReported); known != nil {
+			newer = append(newer, *known)
+		}
+		if m := c.table.get(r.Addr); unknown && m != nil && !m.State.Final() {
+			c.ping(now, m)
+		}
+	}
+	return newer
+}
+
 // delta is one change in the scope of an agent.
 type delta struct {
 	seq    uint64
@@ -121,7 +143,7 @@
 	}
 	var out []delta
 	for _, m := range g.members {
-		if m.seq > seen && (seen > 0 || !m.State.Final()) {
+		if m.seq > seen {
 			out = append(out, delta{seq: m.seq, record: &m.Record})
 		}
 	}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -18,6 +18,9 @@
 	}
 	known := c.table.get(r.Addr)
 	if known == nil {
+		if !c.table.forgotten.admits(r) {
+			return nil
+		}
 		c.insert(now, r, 0, cause)
 		return nil
 	}
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -11,10 +11,15 @@
 	"crocusnotch/internal/keyring"
 )
 
-func testRing(t testing.TB) *keyring.Ring {
+// failer is the part of testing.TB that rapid has too.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+func testRing(t failer) *keyring.Ring {
 	ring, err := keyring.New([]keyring.Generation{{ID: 1, Secret: [32]byte{1}}}, 1)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("key ring: %v", err)
 	}
 	return ring
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -154,6 +154,7 @@
 }
 
 func (c *Core) receiveAck(now time.Time, m *Message) {
+	delete(c.agent.missed, m.From)
 	p := c.probes.pending[m.Seq]
 	if p == nil {
 		return
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -47,11 +47,14 @@
 	c.sendDigest(m.Control, TableObjects)
 }
 
-func (c *Core) hashesOf(t TableID) *[Buckets]uint32 {
+// hashesOf returns the hashes of all buckets, the own record included.
+func (c *Core) hashesOf(t TableID) [Buckets]uint32 {
 	if t == TableObjects {
-		return &c.objects.hashes
+		return c.objects.hashes
 	}
-	return &c.table.hashes
+	hashes := c.table.hashes
+	hashes[bucketOf(addrKey(c.self.Addr))] ^= c.self.stateHash()
+	return hashes
 }
 
 func (c *Core) sendDigest(to netip.AddrPort, t TableID) {
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -59,6 +59,8 @@
 			objects = append(objects, o.latest)
 		}
 	}
+	slices.SortFunc(records, func(x, y Record) int { return x.Addr.Compare(y.Addr) })
+	slices.SortFunc(objects, func(x, y config.Object) int { return cmp.Compare(x.Revision, y.Revision) })
 	if first+PageBuckets < Buckets {
 		next = page + 1
 	}
@@ -94,5 +96,6 @@
 			}
 		}
 	}
+	slices.SortFunc(objects, func(x, y config.Object) int { return cmp.Compare(x.Revision, y.Revision) })
 	return records, objects, 0
 }
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -50,7 +50,7 @@
 	for _, peer := range c.randomEntries(pushFanout, netip.AddrPort{}) {
 		c.send(peer.Control, c.objectMessage(&o.latest))
 	}
-	for addr := range c.entry.watched {
+	for _, addr := range sortedAddrs(c.entry.watched) {
 		if m := c.table.get(addr); m != nil && c.inScope(o, m.Service, c.entry.watched[addr].follow) {
 			c.send(m.Control, c.objectMessage(&o.latest))
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -26,15 +26,16 @@
 
 // table holds the records of all known processes, the own one excepted.
 type table struct {
-	seq      *uint64
-	buckets  [Buckets]map[netip.AddrPort]*member
-	hashes   [Buckets]uint32
-	entries  []*member // members that are not final
-	agents   []*member
-	dead     []*member // declared dead and not yet forgotten
-	suspects map[netip.AddrPort]*member
-	services map[uint16]*group
-	size     int
+	seq       *uint64
+	buckets   [Buckets]map[netip.AddrPort]*member
+	hashes    [Buckets]uint32
+	entries   []*member // members that are not final
+	agents    []*member
+	dead      []*member // declared dead and not yet forgotten
+	suspects  map[netip.AddrPort]*member
+	services  map[uint16]*group
+	size      int
+	forgotten forgotten
 }
 
 func newTable(seq *uint64) *table {
@@ -86,8 +87,13 @@
 	return m
 }
 
-// drop forgets a member.
+// drop forgets a member, but not which incarnations may not come back.
 func (t *table) drop(m *member) {
+	lowest := m.Incarnation
+	if m.State.Final() {
+		lowest++
+	}
+	t.forgotten.add(m.Addr, lowest)
 	t.unindex(m)
 	delete(t.buckets[bucketOf(addrKey(m.Addr))], m.Addr)
 	t.size--
