Let an agent try failed entries again when all have failed

Seen with separate processes: the fleet's first key was added 5 s after the agents had started. Until then no heartbeat could be signed, so each agent took its entries for dead and passed over them for 30 periods. One agent of three knew all entries and sent no byte for more than 20 s, so no entry knew of it and its upstream got no flow; the others escaped by chance of timing. When all known entries have failed none is better than another: all are tried again. The new test fails without the change.

--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -58,6 +58,12 @@
 	}
 	c.dropFailedWatchers(now)
 	c.chooseWatchers(now)
+	if len(c.agent.watchers) == 0 {
+		// All known entries failed, as when this agent itself was cut off or
+		// had no keys. None is better than another, so all are tried again.
+		clear(c.agent.failed)
+		c.chooseWatchers(now)
+	}
 	c.heartbeatAll(now)
 	c.agent.turn++
 	if c.agent.turn%auditPeriods == 0 {
--- /dev/null
+++ b/internal/membership/agent_test.go
@@ -0,0 +1,34 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// An agent that no entry answers, for example because it has no keys yet, must
+// not stay silent once it could be heard.
+func TestAgentKeepsTryingWhenAllEntriesFailed(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleAgent, 1)
+	entry := testCore(RoleEntry, 2).Self()
+	now := testStart
+	c.Learn(now, []Record{entry}, nil)
+	last := now
+	longest := time.Duration(0)
+	for now.Before(testStart.Add(3 * failedPeriods * c.timing.Heartbeat)) {
+		now = now.Add(c.timing.Gossip)
+		if c.Lonely(now) {
+			c.Learn(now, []Record{entry}, nil) // as a snapshot of that entry would
+		}
+		c.Tick(now)
+		longest = max(longest, now.Sub(last))
+		for _, sent := range c.Drain().Sends {
+			if sent.Message.Kind == KindHeartbeat {
+				last = now
+			}
+		}
+	}
+	is.True(longest <= 2*c.timing.Heartbeat)
+}
