List also the process that was asked for the members

A process does not name itself among its peers, so crocusctl status left out the seed that it had asked: with 2 entries and 3 agents running it said that a revision was in force in all of 3 processes (a further agent had not been heard, which is mended by itself). The test's fake named the asked process among its peers, unlike a real one; it no longer does.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -209,7 +209,9 @@
 		r.Process, r.ConfigRevision, r.SigningKey = to.String(), uint64(to.Port()), 2
 		r.Agent = &wire.AgentStatus{FlowsByKey: map[string]int{"1": 3}}
 		for _, control := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
-			r.Peers = append(r.Peers, wire.MemberStatus{Process: control, Control: control, State: "ready"})
+			if control != to.String() { // a process does not name itself
+				r.Peers = append(r.Peers, wire.MemberStatus{Process: control, Control: control, State: "ready"})
+			}
 		}
 		r.Peers = append(r.Peers, wire.MemberStatus{Control: "127.0.0.1:4", State: stateDead})
 	case *wire.ExplainResult:
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -66,11 +66,29 @@
 		if err := ask(ctx, call, seed.String(), wire.MethodStatus, nil, &s); err != nil {
 			continue
 		}
-		return slices.DeleteFunc(s.Peers, gone), nil
+		return withSelf(seed.String(), &s, slices.DeleteFunc(s.Peers, gone)), nil
 	}
 	return nil, ErrNoProcess
 }
 
+// withSelf adds the process that answered, which does not name itself among
+// its peers.
+func withSelf(control string, s *wire.Status, peers []wire.MemberStatus) []wire.MemberStatus {
+	for i := range peers {
+		if peers[i].Control == control {
+			return peers
+		}
+	}
+	self := wire.MemberStatus{
+		Process: s.Process, Control: control, Role: s.Role, Zone: s.Zone,
+		State: s.State, Incarnation: s.Incarnation,
+	}
+	if s.Agent != nil {
+		self.Service = s.Agent.Service
+	}
+	return append([]wire.MemberStatus{self}, peers...)
+}
+
 func gone(m wire.MemberStatus) bool {
 	return m.State == stateLeft || m.State == stateDead
 }
