Parse each revision of an object once

Cause: every change of one object parsed all objects again in every process. Change: config.Builder keeps what it parsed; Build uses a new one.

--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -74,8 +74,27 @@
 // Build makes the configuration from a set of objects. Where two objects claim
 // the same ID or address, the one with the lower revision keeps it, so that
 // every process decides alike whatever the order of arrival.
-func Build(objects []Object) (*Fleet, []Problem) {
-	b := builder{fleet: Empty()}
+func Build(objects []Object) (*Fleet, []Problem) { return NewBuilder().Build(objects) }
+
+// Builder makes configurations one after the other and parses each revision of
+// an object only once.
+type Builder struct {
+	parsed map[ID]parsedObject
+}
+
+// parsedObject is the result of Parse for one revision.
+type parsedObject struct {
+	revision uint64
+	value    any
+	err      error
+}
+
+// NewBuilder returns a builder that has parsed nothing.
+func NewBuilder() *Builder { return &Builder{parsed: map[ID]parsedObject{}} }
+
+// Build is like the function Build.
+func (c *Builder) Build(objects []Object) (*Fleet, []Problem) {
+	b := builder{fleet: Empty(), parse: c.parse}
 	sorted := slices.Clone(objects)
 	slices.SortFunc(sorted, func(x, y Object) int {
 		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Name, y.Name))
@@ -86,9 +105,20 @@
 	return b.fleet, b.problems
 }
 
+func (c *Builder) parse(o *Object) (any, error) {
+	known, ok := c.parsed[o.ID()]
+	if ok && known.revision == o.Revision {
+		return known.value, known.err
+	}
+	v, err := Parse(o)
+	c.parsed[o.ID()] = parsedObject{revision: o.Revision, value: v, err: err}
+	return v, err
+}
+
 type builder struct {
 	fleet    *Fleet
 	problems []Problem
+	parse    func(o *Object) (any, error)
 }
 
 func (b *builder) add(o *Object) {
@@ -102,7 +132,7 @@
 }
 
 func (b *builder) adopt(o *Object) error {
-	v, err := Parse(o)
+	v, err := b.parse(o)
 	if err != nil {
 		return err
 	}
