Measure the slopes of the fleet

Cause: the design size cannot be run on one machine; costs have to be worked out from the growth of smaller fleets. Suspicions and deaths are spread in 19 bytes each; records and objects are published to the process at most ten times a second; an agent that knows few entries asks for more each eighth heartbeat.

--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -40,13 +40,11 @@
 // act does what the core asks for.
 func (n *Node) act(now time.Time) {
 	out := n.core.Drain()
-	if out.Objects {
-		n.rebuildConfig(now)
-		n.adoptZone(now)
-		rest := n.core.Drain()
-		out.Sends = append(out.Sends, rest.Sends...)
-		out.Members = out.Members || rest.Members
-	}
+	n.membersDirty = n.membersDirty || out.Members
+	n.objectsDirty = n.objectsDirty || out.Objects
+	self := n.core.Self()
+	n.self.Store(&self)
+	n.publish(now) // first, because sending needs the keys
 	for _, s := range out.Sends {
 		n.sendMessage(s)
 	}
@@ -56,21 +54,32 @@
 	for _, c := range out.Changes {
 		n.recordChange(now, c)
 	}
-	if out.Members {
+}
+
+// publish makes changes visible to the rest of the process, at a bounded rate:
+// copying all records and objects costs more than merging one.
+func (n *Node) publish(now time.Time) {
+	if !n.membersDirty && !n.objectsDirty || now.Sub(n.published) < publishPeriod {
+		return
+	}
+	if n.objectsDirty {
+		n.objectsDirty = false
+		n.rebuildConfig(now)
+		n.adoptZone(now)
+	}
+	if n.membersDirty {
+		n.membersDirty = false
 		members := n.core.Members()
 		n.members.Store(&members)
-		self := n.core.Self()
-		n.self.Store(&self)
-	}
-	if out.Members || out.Objects {
-		n.notify()
 	}
+	n.published = now
+	n.notify()
 }
 
 // rebuildConfig puts the valid objects in force.
 func (n *Node) rebuildConfig(now time.Time) {
 	valid, problems := n.core.Objects()
-	fleet, more := config.Build(valid)
+	fleet, more := n.builder.Build(valid)
 	problems = append(problems, more...)
 	before := n.config.Swap(fleet)
 	known := n.problems.Swap(&problems)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -28,6 +28,7 @@
 	inboxSize       = 1024
 	commandsSize    = 64
 	socketBufferLen = 2048
+	publishPeriod   = 100 * time.Millisecond
 )
 
 // Store is what a node needs of the platform's store.
@@ -66,7 +67,13 @@
 	metrics  *metrics
 	events   *explain.Ring
 
-	core     *membership.Core // owned by the loop
+	// Owned by the loop.
+	core         *membership.Core
+	builder      *config.Builder
+	membersDirty bool
+	objectsDirty bool
+	published    time.Time
+
 	inbox    chan *membership.Message
 	commands chan func(now time.Time)
 	stopped  chan struct{}
@@ -101,6 +108,7 @@
 		stopped:  make(chan struct{}),
 	}
 	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing})
+	n.builder = config.NewBuilder()
 	n.config.Store(config.Empty())
 	n.problems.Store(&[]config.Problem{})
 	n.members.Store(&[]membership.Record{})
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -14,6 +14,7 @@
 	watchersPerAgent = 3
 	maxKnownEntries  = 16
 	fewEntries       = 8
+	needyPeriods     = 8 // heartbeats for each request for more entries
 	missedReplies    = 3 // unanswered heartbeats after which a watcher is replaced
 	failedPeriods    = 30
 	confirmPeriods   = 4 // heartbeats for each peer that is shown to the watchers
@@ -209,7 +210,7 @@
 		Epoch:   w.epoch,
 		Seq:     w.seen,
 		Follow:  c.agent.follow,
-		Needy:   len(c.table.entries) < fewEntries,
+		Needy:   len(c.table.entries) < fewEntries && c.agent.turn%needyPeriods == 0,
 	})
 }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -50,6 +50,7 @@
 			p.record(newer)
 		}
 	}
+	c.mergeVerdicts(now, m.Verdicts)
 	for i := range m.Objects {
 		c.mergeObject(now, &m.Objects[i])
 	}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -27,6 +27,7 @@
 	phase  int
 	in     int // bytes
 	out    int
+	cpu    time.Duration // in the core and the codec, when measured
 }
 
 // parcel is a sealed message on its way.
@@ -185,8 +186,10 @@
 		s.deliver()
 		for _, n := range s.nodes {
 			if s.runs(n) && (s.steps+n.phase)%2 == 0 {
+				began := threadCPU()
 				n.core.Tick(s.clock(n))
 				s.collect(n)
+				n.cpu += threadCPU() - began
 			}
 			if s.runs(n) && (s.steps+n.phase)%10 == 0 {
 				s.rejoin(n)
@@ -212,6 +215,7 @@
 			heap.Push(&s.queue, p)
 			continue
 		}
+		began := threadCPU()
 		m, err := Open(s.ring, p.data)
 		if err != nil {
 			s.t.Fatalf("sealed message not accepted: %v", err)
@@ -219,6 +223,7 @@
 		n.in += len(p.data)
 		n.core.Receive(p.at.Add(n.skew), m)
 		s.collectAt(n, p.at)
+		n.cpu += threadCPU() - began
 	}
 }
 
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -124,6 +124,9 @@
 		return p.record(&c.self)
 	}
 	m := c.table.get(n.addr)
+	if m != nil && isVerdict(m.State) {
+		return p.verdict(&m.Record)
+	}
 	return m == nil || p.record(&m.Record)
 }
 
@@ -185,7 +188,16 @@
 func newPacker(m *Message) *packer { return &packer{m: m, left: bodyBudget} }
 
 func (p *packer) empty() bool {
-	return len(p.m.Records) == 0 && len(p.m.Objects) == 0 && len(p.m.Stubs) == 0
+	return len(p.m.Records) == 0 && len(p.m.Objects) == 0 && len(p.m.Stubs) == 0 && len(p.m.Verdicts) == 0
+}
+
+func (p *packer) verdict(r *Record) bool {
+	if p.left < verdictSize {
+		return false
+	}
+	p.left -= verdictSize
+	p.m.Verdicts = appendVerdict(p.m.Verdicts, r)
+	return true
 }
 
 func (p *packer) record(r *Record) bool {
