Look for the first key until it is known

Without keys no message can be sent, so nothing came until the agent missed its peers: in a run of separate processes two agents of three had their configuration 5.3 s after the entries. The new test fails without the change.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -25,19 +25,21 @@
 
 var errNoPeer = errors.New("fleet: no peer answered")
 
-// joinLoop looks for peers at the start and whenever none was heard for a
-// while: known entries and seeds first, then the rosters in the store.
+// joinLoop looks for peers at the start, as long as no keys are known, without
+// which nothing can be sent, and whenever no peer was heard for a while: known
+// entries and seeds first, then the rosters in the store.
 func (n *Node) joinLoop(ctx context.Context, r *rand.Rand) error {
 	n.lonely.Store(true)
 	backoff := joinBackoffMin
 	for ctx.Err() == nil {
-		if !n.lonely.Load() {
+		if !n.lonely.Load() && n.Config().Keys != nil {
 			backoff = joinBackoffMin
 			sleep(ctx, joinPoll)
 			continue
 		}
 		if n.join(ctx, r) {
 			n.metrics.joins.WithLabelValues("found").Inc()
+			backoff = joinBackoffMin
 		} else {
 			n.metrics.joins.WithLabelValues("none").Inc()
 		}
--- a/internal/fleet/promises_test.go
+++ b/internal/fleet/promises_test.go
@@ -56,6 +56,29 @@
 	})
 }
 
+// The first processes of a fleet may start before its first key is known. An
+// agent that joined by then must not wait until it misses its peers.
+func TestFirstKeyReachesAgentsInTime(t *testing.T) {
+	const firstKeyBound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		defer b.stop()
+		b.store.setDown(true)
+		b.seeds = []netip.AddrPort{memberAddr("e1")}
+		startAll(b, "e1@pier", "a1@pier")
+		time.Sleep(time.Second)
+		is.Equal(b.nodes["a1@pier"].Config().Keys, nil)
+		b.store.setDown(false)
+		for b.nodes["e1@pier"].Config().Keys == nil {
+			time.Sleep(time.Millisecond)
+		}
+		b.store.setDown(true) // so that only the entry can tell
+		time.Sleep(firstKeyBound)
+		is.True(b.nodes["a1@pier"].Config().Keys != nil)
+	})
+}
+
 func TestLeavingIsKnownInTime(t *testing.T) {
 	inFleet(t, func(is *is.I, b *bench) {
 		b.nodes["a1@pier"].Leave(context.Background())
