Let an upstream stop when its agent is gone

The stand-in upstream waited for a drain for ever when its agent had ended before it: three of them were left over by a run of the examples and took the addresses of the next. No agent for 5 s means that nobody brings it work.

--- a/internal/standin/upstream/announce.go
+++ b/internal/standin/upstream/announce.go
@@ -23,6 +23,7 @@
 	announceRetry   = 200 * time.Millisecond
 	leaseParts      = 3 // an announcement is repeated each third of its lease
 	drainPoll       = 100 * time.Millisecond
+	lostAgent       = 5 * time.Second
 )
 
 // announcement is the body of PUT /v1/upstream.
@@ -77,11 +78,13 @@
 }
 
 // WaitDrained returns once the agent says that nothing of the upstream's work
-// is left.
+// is left, or once no agent has answered for lostAgent, since then nobody
+// brings it work.
 func (u *Upstream) WaitDrained(ctx context.Context, agent netip.AddrPort) error {
 	client := &http.Client{Timeout: announceTimeout}
 	defer client.CloseIdleConnections()
 	url := "http://" + agent.String() + "/v1/upstream"
+	answered := time.Now()
 	for {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
@@ -90,7 +93,11 @@
 		var state struct {
 			Drained bool `json:"drained"`
 		}
-		if err := call(client, req, &state); err == nil && state.Drained {
+		err = call(client, req, &state)
+		if err == nil {
+			answered = time.Now()
+		}
+		if state.Drained || time.Since(answered) > lostAgent {
 			return nil
 		}
 		select {
