--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -193,6 +193,22 @@
 	is.Equal(a.seen()[1].Header.Get(request.HeaderOwner), owner)
 }
 
+// An attempt that found no open flow was not sent: the next one is the first
+// that an agent sees, and must not be taken for a retry.
+func TestAttemptWithoutAFlowIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	certs := newCerts(t)
+	a := startAgent(t, certs, answerAs(own, testSize))
+	p := startPool(t, certs, a.address)
+	f := p.slots[0].Swap(nil)
+	go func() {
+		until(func() bool { return p.o.Counters.Totals().Refusals["not-run/no-flow"] > 0 })
+		p.slots[0].Store(f)
+	}()
+	is.True(p.Do(t.Context(), post))
+	is.Equal(a.seen()[0].Header.Get(payload.HeaderAttempt), "")
+}
+
 // After GOAWAY the next flow must be open before the old one is let go, and
 // neither may count as broken.
 func TestGoAwayMakesBeforeBreak(t *testing.T) {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -73,8 +73,12 @@
 	p.o.Counters.add(func(t *Totals) { t.Requests++ })
 	var o outcome
 	owner := ""
+	sent := 0 // attempts that an agent may have seen
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		o = p.attempt(ctx, k, id, attempt, owner)
+		o = p.attempt(ctx, k, id, sent+1, owner)
+		if o.reason != noFlow {
+			sent++
+		}
 		if o.owner != "" {
 			owner = o.owner
 		}
