Keep a healed cut from killing those it did not reach

Cause: the slopes of a region cut showed that, as soon as fewer than an eighth of the members were suspect after the cut had healed, all remaining suspects were declared dead at once, and 5 to 8 in 100 uses of the own region went away.

Ruled out: spreading suspicion by repair, which had been mended before.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -110,6 +110,9 @@
 	params := wire.SnapshotParams{
 		Agent: self.Role == membership.RoleAgent, Address: self.Addr.String(), Service: self.Service,
 	}
+	if follow := n.follow.Load(); follow != nil {
+		params.Follow = *follow
+	}
 	for {
 		next, err := n.takePage(ctx, from, params)
 		if err != nil || next == 0 {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -49,13 +49,33 @@
 		n.sendMessage(s)
 	}
 	for _, f := range out.Fetches {
-		go n.fetch(f)
+		n.startFetch(f)
 	}
 	for _, c := range out.Changes {
 		n.recordChange(now, c)
 	}
 }
 
+// startFetch gets large objects in the background. Many peers announce the same
+// object, which is fetched from one of them at a time.
+func (n *Node) startFetch(f membership.Fetch) {
+	f.IDs = slices.DeleteFunc(f.IDs, func(id config.ID) bool { return n.fetching[id] })
+	if len(f.IDs) == 0 {
+		return
+	}
+	for _, id := range f.IDs {
+		n.fetching[id] = true
+	}
+	go func() {
+		n.fetch(f)
+		n.command(func(time.Time) {
+			for _, id := range f.IDs {
+				delete(n.fetching, id)
+			}
+		})
+	}()
+}
+
 // publish makes changes visible to the rest of the process, at a bounded rate:
 // copying all records and objects costs more than merging one.
 func (n *Node) publish(now time.Time) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -73,6 +73,7 @@
 	membersDirty bool
 	objectsDirty bool
 	published    time.Time
+	fetching     map[config.ID]bool
 
 	inbox    chan *membership.Message
 	commands chan func(now time.Time)
@@ -84,6 +85,7 @@
 	problems atomic.Pointer[[]config.Problem]
 	members  atomic.Pointer[[]membership.Record]
 	self     atomic.Pointer[membership.Record]
+	follow   atomic.Pointer[string]
 	lonely   atomic.Bool
 	store    atomic.Bool // the last call to the store was answered
 	status   atomic.Pointer[func(*wire.Status)]
@@ -109,6 +111,7 @@
 	}
 	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing})
 	n.builder = config.NewBuilder()
+	n.fetching = map[config.ID]bool{}
 	n.config.Store(config.Empty())
 	n.problems.Store(&[]config.Problem{})
 	n.members.Store(&[]membership.Record{})
@@ -243,6 +246,7 @@
 // Follow names the agent's service, so that its configuration is received
 // before the record carries the service's ID.
 func (n *Node) Follow(service string) {
+	n.follow.Store(&service)
 	n.command(func(time.Time) { n.core.Follow(service) })
 }
 
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -182,7 +182,11 @@
 func (c *Core) Learn(now time.Time, records []Record, objects []config.Object) {
 	c.startOnce(now)
 	for i := range records {
-		if records[i].Valid() {
+		switch {
+		case !records[i].Valid():
+		case c.isDoubtful(&records[i]):
+			c.doubt(&records[i])
+		default:
 			c.mergeRecord(now, &records[i], CauseReported)
 		}
 	}
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -153,3 +153,30 @@
 		is.Equal(n.core.self.Version, uint32(1)) // had nothing to refute
 	}
 }
+
+func TestHealedCutEmptiesNoZone(t *testing.T) {
+	is := is.New(t)
+	const leastUsed = 90.0 // percent of the own region
+	s := newSim(t, 1)
+	s.fill(20, 80)
+	s.run(10 * time.Second)
+	s.cut = func(from, to *simNode) bool { return from.core.self.Zone%2 != to.core.self.Zone%2 }
+	for range 60 {
+		s.run(time.Second)
+		is.True(s.used(true) >= leastUsed)
+	}
+	s.cut = nil
+	for range 60 {
+		s.run(time.Second)
+		is.True(s.used(true) >= leastUsed)
+	}
+	is.Equal(s.used(false), 100.0)
+	killed := 0
+	for _, n := range s.nodes {
+		if n.core.self.Incarnation != n.core.self.Boot {
+			killed++
+		}
+	}
+	t.Logf("%d of %d were declared dead", killed, len(s.nodes))
+	is.True(float64(killed) <= 2*massDeathRate*(2*time.Minute).Seconds()) // both sides of the cut
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -33,6 +33,7 @@
 	recorded int
 	failures int
 	checked  time.Time // last check of the suspects
+	massEnds time.Time // until then few suspects are declared dead
 	doubted  []Record  // reports of others that are to be verified
 }
 
--- a/internal/membership/slopes_test.go
+++ b/internal/membership/slopes_test.go
@@ -96,9 +96,72 @@
 	s.logCostOfChanges(t, entry)
 	t.Logf("  agent silent: avoided by all entries, dead at all %v", s.timeDeaths(RoleAgent))
 	t.Logf("  entry silent: avoided by all entries, dead at all %v", s.timeDeaths(RoleEntry))
+	s.logRegionCut(t)
 	s.logZoneLoss(t)
 }
 
+// logRegionCut parts the regions for a while and prints what an entry spends
+// and whom it still uses while they are parted and after they meet again.
+func (s *sim) logRegionCut(t *testing.T) {
+	const parted, healed = 2 * time.Minute, 2 * time.Minute
+	region := func(n *simNode) uint8 { return n.core.self.Zone % 2 }
+	s.cut = func(from, to *simNode) bool { return region(from) != region(to) }
+	f, _ := s.measure(parted)
+	t.Logf("  regions parted for %v: entry %s; used of own region %.2f%%, of the other %.2f%%",
+		parted, f.perSecond(parted), s.used(true), s.used(false))
+	s.cut = nil
+	least, whole := 100.0, time.Duration(0)
+	for _, n := range s.nodes {
+		n.in, n.out, n.cpu = 0, 0, 0
+	}
+	began := s.now
+	var first roleFigures
+	for s.now.Sub(began) < healed {
+		f, _ := s.measure(time.Second)
+		if f.in+f.out > first.in+first.out {
+			first = f
+		}
+		least = min(least, s.used(true))
+		if whole == 0 && s.used(false) == 100 {
+			whole = s.now.Sub(began)
+		}
+	}
+	wholeAfter := "not " + healed.String()
+	if whole > 0 {
+		wholeAfter = whole.String()
+	}
+	t.Logf("  healed: dearest second of an entry %s; used of own region at least %.2f%%; other region whole after %s",
+		first.perSecond(time.Second), least, wholeAfter)
+}
+
+// used returns the share of the live members of the own or the other region
+// that entries use, in percent.
+func (s *sim) used(own bool) float64 {
+	var alive [slopeZones + 1]int
+	for _, n := range s.nodes {
+		if n.up {
+			alive[n.core.self.Zone]++
+		}
+	}
+	used, all := 0, 0
+	for _, n := range s.nodes {
+		if !n.up || n.core.self.Role != RoleEntry {
+			continue
+		}
+		for zone := uint8(1); zone <= slopeZones; zone++ {
+			if (zone%2 == n.core.self.Zone%2) != own {
+				continue
+			}
+			used += n.core.usable(zone)
+			all += alive[zone]
+			if zone == n.core.self.Zone {
+				all-- // itself
+			}
+		}
+	}
+	return 100 * float64(used) / float64(all)
+}
+
 // fill starts a fleet whose members know each other already. It returns the
 // heap of one entry and one agent in bytes.
 func (s *sim) fill(entries, agents int) [2]uint64 {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -9,10 +9,11 @@
 
 // Bounds of spreading.
 const (
-	spreadFanout    = 3 // peers for each round
-	spreadRounds    = 3 // rounds for each rumor
-	pushFanout      = 4 // peers for an object at its first arrival
-	roundDatagrams  = 4 // datagrams to each peer for each round
+	spreadFanout    = 3   // peers for each round
+	spreadRounds    = 3   // rounds for each rumor
+	pushFanout      = 4   // peers for an object at its first arrival
+	roundDatagrams  = 2   // datagrams to each peer for each round
+	longQueue       = 100 // rumors above which each is spread in one round; repair does the rest
 	bodyBudget      = 1080
 	recordSize      = 80 // upper bound of an encoded record in bytes
 	objectOverhead  = 48
@@ -140,7 +141,7 @@
 			continue
 		}
 		n.rounds = -n.rounds - 1
-		if n.rounds > 0 {
+		if n.rounds > 0 && len(c.spread.queue) <= longQueue {
 			sent = append(sent, n)
 			continue
 		}
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -4,11 +4,13 @@
 
 // Bounds of suspicion.
 const (
-	verdictWindow  = 32  // last probe results that tell whether this process itself is cut off
-	deathsPerCheck = 10  // dead declarations for each check of the suspects
-	massLeast      = 2   // suspects that are never many
-	massShare      = 8   // one in so many members suspect at once is many
-	massDeathRate  = 0.1 // dead declarations a second of all entries together while many are suspect
+	verdictWindow  = 32          // last probe results that tell whether this process itself is cut off
+	deathsPerCheck = 10          // dead declarations for each check of the suspects
+	massLeast      = 2           // suspects that are never many
+	massShare      = 8           // one in so many members suspect at once is many
+	massHold       = time.Minute // after many were suspect, while a healed cut is repaired
+	cutOffShare    = 0.75        // of the last probes failed
+	massDeathRate  = 0.1         // dead declarations a second of all entries together while many are suspect
 )
 
 func (c *Core) recordProbe(ok bool) {
@@ -26,13 +28,18 @@
 // cutOff reports whether most of the own probes failed lately, so that this
 // process itself is more likely to be cut off than all the others to be dead.
 func (c *Core) cutOff() bool {
-	return 2*c.probes.failures > min(c.probes.recorded, verdictWindow)
+	return float64(c.probes.failures) > cutOffShare*float64(min(c.probes.recorded, verdictWindow))
 }
 
-// massSuspicion reports whether so many members are suspect at once that a cut
-// is more likely than their deaths, or that this process itself is cut off.
-func (c *Core) massSuspicion() bool {
-	return len(c.table.suspects) > max(massLeast, c.table.alive()/massShare) || c.cutOff()
+// massSuspicion reports whether so many members are suspect at once, or were a
+// short time ago, that a cut is more likely than their deaths, or that this
+// process itself is cut off.
+func (c *Core) massSuspicion(now time.Time) bool {
+	many := len(c.table.suspects) > max(massLeast, c.table.alive()/massShare)
+	if many || c.cutOff() {
+		c.probes.massEnds = now.Add(massHold)
+	}
+	return now.Before(c.probes.massEnds)
 }
 
 // checkSuspects declares dead the members whose suspicion was not refuted in
@@ -46,7 +53,7 @@
 		return
 	}
 	limit := deathsPerCheck
-	if c.massSuspicion() {
+	if c.massSuspicion(now) {
 		share := massDeathRate * elapsed.Seconds() / float64(1+len(c.table.entries))
 		if c.rand.Float64() >= share {
 			return
