Test the agent's failures and mend what they showed

Mended: a draining agent got no load reports, so that it could relay nothing; the engine began with an empty retention, so that it trusted no peer's report for a whole retention period; an upstream that sheds before it has read the body could race with the body's writing and turn a not-run into an unknown, so that bodies in memory are sent together with their headers now. Ruled out for the last: waiting for the upload before reading the answer, which would stall long uploads.

--- a/internal/agent/adopt.go
+++ b/internal/agent/adopt.go
@@ -39,8 +39,13 @@
 // the engine of the upstream.
 func (l *loop) adoptService() {
 	service := l.findService()
-	if old := l.service.Swap(service); service != nil && old != service {
+	if service != nil && l.service.Load() != service {
 		l.agent.driver.setTargets(service.Targets)
+		l.agent.driver.zoneOut(l.zoneOut)
+	}
+	l.service.Store(service)
+	if service != nil && l.stopping {
+		l.agent.driver.drain()
 	}
 	l.tellEngine()
 }
@@ -116,7 +121,9 @@
 	return found
 }
 
-// adoptPeers tells the engine and the hunting of the agents of the service.
+// adoptPeers keeps the agents of the service. All of them exchange loads, also
+// those that drain and relay their requests; the engine forgets those that
+// have gone.
 func (l *loop) adoptPeers() {
 	var peers []membership.Record
 	keep := map[request.Ref]bool{}
@@ -136,8 +143,8 @@
 	l.agent.peers.retain(peers)
 }
 
-// isPeer reports whether a member can take work of this agent's service. Work
-// stays in the region.
+// isPeer reports whether a member serves this agent's service. Work stays in
+// the region.
 func (l *loop) isPeer(m *membership.Record) bool {
 	service := l.service.Load()
 	if service == nil || m.Role != membership.RoleAgent || m.Service != service.ID {
@@ -150,5 +157,5 @@
 	if own != nil && l.cfg.Region(m.Zone) != own.Region {
 		return false
 	}
-	return m.State == membership.StateReady || m.State == membership.StateCold
+	return !m.State.Final() && m.State != membership.StateSuspect
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -118,14 +118,12 @@
 
 // assemble ties the parts together.
 func (a *Agent) assemble() {
-	start := time.Now()
 	self := request.Ref{Addr: a.settings.Relay, Incarnation: a.incarnation}
-	engine := request.New(request.Options{
+	a.driver = newDriver(request.Options{
 		Self:   self,
-		Start:  start,
+		Start:  time.Now(),
 		Random: rand.New(rand.NewPCG(a.incarnation, uint64(a.settings.Data.Port()))),
-	})
-	a.driver = newDriver(engine, a.metrics)
+	}, a.metrics)
 	base, abort := context.WithCancel(context.Background())
 	a.abort = abort
 	a.loop = newLoop(a)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -129,7 +129,7 @@
 		b.is.NoErr(err)
 		first.Stop()
 		first.Stop()
-		time.Sleep(time.Hour) // no timer cuts the stream
+		time.Sleep(10 * time.Minute) // no timer cuts the stream
 		_, progress := b.onAnnounce(first, http.MethodGet, nil)
 		b.is.Equal(strings.TrimSpace(progress), `{"flows":1,"running":1,"drained":false}`)
 		_, _, _, err = c.get("GET", "/", nil)
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -56,6 +56,16 @@
 	return b.err
 }
 
+// whole returns the body when all of it is kept.
+func (b *replayBody) whole() ([]byte, bool) {
+	if b.lost.Load() {
+		return nil, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.kept, b.err == io.EOF
+}
+
 // release stops keeping the start: no second try follows.
 func (b *replayBody) release() { b.lost.Store(true) }
 
--- a/internal/agent/driver.go
+++ b/internal/agent/driver.go
@@ -14,16 +14,18 @@
 type driver struct {
 	metrics *metrics
 
+	options request.Options
+
 	mu        sync.Mutex
-	engine    *request.Engine
+	engine    *request.Engine // nil until the service's targets are known
 	exchanges map[request.ID]*exchange
 	lastID    request.ID
 	timer     *time.Timer
 	wakeAt    time.Time
 }
 
-func newDriver(e *request.Engine, m *metrics) *driver {
-	d := &driver{metrics: m, engine: e, exchanges: map[request.ID]*exchange{}}
+func newDriver(o request.Options, m *metrics) *driver {
+	d := &driver{metrics: m, options: o, exchanges: map[request.ID]*exchange{}}
 	d.timer = time.AfterFunc(time.Hour, d.tick)
 	d.timer.Stop()
 	return d
@@ -33,6 +35,9 @@
 func (d *driver) step(event func(*request.Engine, time.Time) []request.Action) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.engine == nil {
+		return
+	}
 	d.dispatch(event(d.engine, time.Now()))
 	d.schedule()
 }
@@ -146,7 +151,8 @@
 	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.PeerLoad(now, r) })
 }
 
-func (d *driver) resolve(q request.Query) (out request.Resolution) {
+func (d *driver) resolve(q request.Query) request.Resolution {
+	out := request.Resolution{State: request.ResolvedUnknown, Reason: request.ReasonOwnerLost}
 	d.step(func(e *request.Engine, now time.Time) []request.Action {
 		out = e.Resolve(now, q)
 		return nil
@@ -155,16 +161,24 @@
 }
 
 func (d *driver) peerGone(r request.Ref) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.engine.PeerGone(r)
+	d.step(func(e *request.Engine, _ time.Time) []request.Action {
+		e.PeerGone(r)
+		return nil
+	})
 }
 
+// setTargets adopts the service's targets. The engine begins with the first
+// ones, because its memory of keys counts from the retention that it knows.
 func (d *driver) setTargets(t config.Targets) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.engine.SetTargets(time.Now(), t)
-	d.schedule()
+	if d.engine != nil {
+		d.engine.SetTargets(time.Now(), t)
+		d.schedule()
+		return
+	}
+	d.options.Targets = t
+	d.engine = request.New(d.options)
 }
 
 // driverStatus is the state of the engine.
@@ -177,6 +191,9 @@
 func (d *driver) status() driverStatus {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.engine == nil {
+		return driverStatus{}
+	}
 	return driverStatus{
 		load:   d.engine.Load(),
 		counts: d.engine.Counts(),
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -14,6 +14,7 @@
 	"io"
 	"log/slog"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,6 +32,7 @@
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/request"
 	"crocusnotch/internal/wire"
 )
 
@@ -164,7 +166,13 @@
 	})
 }
 
-func (f *fakeFleet) Follow(string)                     {}
+func (f *fakeFleet) Follow(string) {}
+func (f *fakeFleet) record() membership.Record {
+	f.cluster.mu.Lock()
+	defer f.cluster.mu.Unlock()
+	return f.own
+}
+
 func (f *fakeFleet) Events() *explain.Ring             { return f.events }
 func (f *fakeFleet) SetStatus(fill func(*wire.Status)) { f.status = fill }
 
@@ -193,6 +201,7 @@
 	err      error
 	upstream *http.Server
 	stopped  chan struct{} // ends the announcements
+	quiet    sync.Once
 }
 
 func addr(n, port int) netip.AddrPort {
@@ -252,7 +261,7 @@
 // restart starts a new process in place of a killed one, beside the same
 // upstream.
 func (b *bench) restart(old *testAgent) *testAgent {
-	close(old.stopped)
+	old.silence()
 	a := b.newAgent(old.n)
 	a.upstream = old.upstream
 	go b.keepAnnouncing(a)
@@ -273,7 +282,7 @@
 	}
 	var err error
 	a.Agent, err = New(s, Deps{
-		Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		Log: slog.New(slog.DiscardHandler), Registry: newTestRegistry(),
 		TLS: wire.NewMutualTLS(testCert, testPool()), Callers: &testCert,
 		Fleet: f, Network: b.net, Incarnation: b.boots,
 	})
@@ -320,6 +329,9 @@
 	return resp.StatusCode, string(text)
 }
 
+// silence ends the upstream's announcements.
+func (a *testAgent) silence() { a.quiet.Do(func() { close(a.stopped) }) }
+
 // kill ends the agent's process without a word.
 func (a *testAgent) kill() {
 	a.cancel()
@@ -331,7 +343,7 @@
 		c.close()
 	}
 	for _, a := range b.agents {
-		close(a.stopped)
+		a.silence()
 		a.cancel()
 		<-a.done
 		_ = a.upstream.Close()
@@ -405,3 +417,11 @@
 	text, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(text), resp.Header, err
 }
+
+func newTestRegistry() *prometheus.Registry { return prometheus.NewRegistry() }
+
+func testRand() *mathrand.Rand { return mathrand.New(mathrand.NewPCG(1, 2)) }
+
+func requestRef(clock int64) request.Ref {
+	return request.Ref{Addr: addr(1, 2), Incarnation: 9, Clock: clock}
+}
--- a/internal/agent/loads.go
+++ b/internal/agent/loads.go
@@ -240,7 +240,8 @@
 func (a *Agent) takeLoad(from netip.AddrPort, datagram []byte) {
 	v := a.socket.view.Load()
 	r, ok := parseLoad(v.ring, datagram)
-	if !ok || !v.takes[from] {
+	_, known := v.takes[from]
+	if !ok || !known {
 		a.metrics.socket.drop(dropLoad)
 		return
 	}
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -29,7 +29,13 @@
 	service   uint16
 	entries   []*testEntry
 	// split, when set, picks the entry for a packet instead of the spray.
-	split func(packet []byte) int
+	split func() int
+}
+
+func (n *memoryNetwork) setSplit(split func() int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.split = split
 }
 
 // testEntry is an entry with a view of its own of the candidates.
@@ -194,7 +200,7 @@
 	}
 	entry := live[n.rng.IntN(len(live))]
 	if n.split != nil {
-		entry = n.entries[n.split(b)]
+		entry = n.entries[n.split()]
 	}
 	candidates := entry.candidates
 	n.mu.Unlock()
--- a/internal/agent/publish.go
+++ b/internal/agent/publish.go
@@ -58,7 +58,7 @@
 		v.zone = zone.ID
 	}
 	for _, p := range l.peers {
-		v.takes[p.Addr] = true
+		v.takes[p.Addr] = p.State == membership.StateReady || p.State == membership.StateCold
 	}
 	l.agent.socket.view.Store(v)
 }
--- /dev/null
+++ b/internal/agent/request_test.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go/http3"
+
+	"crocusnotch/internal/request"
+)
+
+// recorder is an upstream that counts the runs of each key.
+type recorder struct {
+	mu   sync.Mutex
+	runs map[string]int
+	hold chan struct{} // answers wait for it when it is not nil
+	shed bool
+	gone chan struct{} // receives when a request was cancelled
+}
+
+func newRecorder() *recorder {
+	return &recorder{runs: map[string]int{}, gone: make(chan struct{}, 16)}
+}
+
+func (u *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.shed {
+		w.Header().Set(headerNotRun, "shed")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	key := r.Header.Get(request.HeaderIdempotencyKey)
+	u.mu.Lock()
+	u.runs[key]++
+	u.mu.Unlock()
+	if u.hold != nil {
+		select {
+		case <-u.hold:
+		case <-r.Context().Done():
+			u.gone <- struct{}{}
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "ran "+string(body))
+}
+
+func (u *recorder) count(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[key]
+}
+
+func TestDuplicateKeyRunsOnce(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		u.hold = make(chan struct{})
+		c := b.mustDial()
+		first := make(chan string)
+		go func() {
+			_, text, _, _ := c.get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+			first <- text
+		}()
+		time.Sleep(100 * time.Millisecond)
+		status, _, h, err := c.get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+		b.is.NoErr(err)
+		b.is.Equal(status, http.StatusConflict)
+		b.is.Equal(h.Get(request.HeaderReason), string(request.ReasonDuplicate))
+		close(u.hold)
+		b.is.Equal(<-first, "ran bell")
+		status, text, h, err := c.get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+		b.is.Equal(text, "ran bell") // the kept answer
+		b.is.Equal(h.Get(request.HeaderOutcome), "ran")
+		b.is.Equal(u.count("k"), 1)
+	}, u)
+}
+
+func TestRefusals(t *testing.T) {
+	u := newRecorder()
+	cases := []struct {
+		name, method, path, key string
+		shed                    bool
+		status                  int
+		reason                  request.Reason
+	}{
+		{"no key", "POST", "/ring", "", false, 400, request.ReasonKeyMissing},
+		{"shed", "GET", "/", "", true, 503, request.ReasonShed},
+		{"shed with key", "POST", "/ring", "s", true, 503, request.ReasonShed},
+	}
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		for _, tt := range cases {
+			u.shed = tt.shed
+			status, _, h, err := c.get(tt.method, tt.path, strings.NewReader("x"), "Idempotency-Key", tt.key)
+			b.is.NoErr(err)                                                      // tt.name
+			b.is.Equal(status, tt.status)                                        // tt.name
+			b.is.Equal(h.Get(request.HeaderOutcome), "not-run")                  // tt.name
+			b.is.Equal(h.Get(request.HeaderReason), string(tt.reason))           // tt.name
+			b.is.Equal(u.count(tt.key), 0)                                       // tt.name
+			b.is.True(tt.status == 400 || h.Get(request.HeaderRetryAfter) != "") // tt.name
+		}
+	}, u)
+}
+
+func TestCancellationReachesTheUpstream(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		u.hold = make(chan struct{})
+		u.gone = make(chan struct{}, 16)
+		c := b.mustDial()
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		_, err := c.do(ctx, "GET", "/", nil)
+		b.is.True(err != nil)
+		<-u.gone
+		time.Sleep(10 * time.Millisecond)
+		b.is.Equal(b.agents[0].driver.status().counts.Requests, 0)
+		b.is.Equal(b.agents[0].driver.status().load.Busy, 0)
+		b.is.Equal(len(b.agents[0].driver.exchanges), 0)
+	}, u)
+}
+
+func TestDeadlineEndsTheRequest(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		u.hold = make(chan struct{})
+		u.gone = make(chan struct{}, 16)
+		c := b.mustDial()
+		began := time.Now()
+		status, _, h, err := c.get("POST", "/ring", strings.NewReader("x"),
+			"Idempotency-Key", "k", request.HeaderDeadline, "300")
+		b.is.NoErr(err)
+		b.is.Equal(status, http.StatusGatewayTimeout)
+		b.is.Equal(h.Get(request.HeaderOutcome), "unknown")
+		b.is.True(time.Since(began) < 310*time.Millisecond) // virtual time
+		<-u.gone
+	}, u)
+}
+
+func TestUnreachableUpstreamIsNotRunOrRelayed(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		// The upstream of the flow's agent crashes; its lease still holds.
+		owner, _ := b.ownerAndPeer()
+		_ = owner.upstream.Close()
+		status, text, _, err := c.get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+		b.is.Equal(text, "ran bell") // by the peer agent
+		b.is.Equal(u.count("k"), 1)
+	}, u, u)
+}
+
+// TestRelayPeerLostAfterRun kills the peer agent while its upstream runs a
+// relayed request: nobody can know the outcome, and nothing runs it again.
+func TestRelayPeerLostAfterRun(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		u.hold = make(chan struct{})
+		u.gone = make(chan struct{}, 16)
+		c := b.mustDial()
+		_, peer := b.ownerAndPeer()
+		b.withdraw()
+		answer := make(chan http.Header, 1)
+		go func() {
+			_, _, h, _ := c.get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+			answer <- h
+		}()
+		time.Sleep(100 * time.Millisecond)
+		b.is.Equal(u.count("k"), 1)
+		peer.kill()
+		h := <-answer
+		b.is.Equal(h.Get(request.HeaderOutcome), "unknown")
+		b.is.Equal(u.count("k"), 1)
+	}, u, u)
+}
+
+// ownerAndPeer returns the agent that has the only flow, and the other.
+func (b *bench) ownerAndPeer() (owner, peer *testAgent) {
+	time.Sleep(10 * time.Millisecond)
+	owner, peer = b.agents[0], b.agents[1]
+	if owner.established() == 0 {
+		owner, peer = peer, owner
+	}
+	b.is.Equal(owner.established(), 1)
+	return owner, peer
+}
+
+// established returns the flows whose handshake is complete.
+func (a *testAgent) established() int {
+	a.flows.mu.Lock()
+	defer a.flows.mu.Unlock()
+	n := 0
+	for f := range a.flows.flows {
+		if f.conn != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// withdraw lets the lease of the owner's upstream lapse, so that its requests
+// are relayed.
+func (b *bench) withdraw() {
+	owner, _ := b.ownerAndPeer()
+	owner.silence()
+	time.Sleep(2 * announceLease)
+}
+
+func TestRequestsDuringDrainAreWholeOrRejected(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		owner, _ := b.ownerAndPeer()
+		time.AfterFunc(10*time.Millisecond+500*time.Microsecond, owner.Stop)
+		whole, rejected := 0, 0
+		for range 40 {
+			status, text, _, err := c.get("GET", "/", nil)
+			var refused *http3.Error
+			switch {
+			case err == nil:
+				b.is.Equal(status, 200)
+				b.is.Equal(text, "ran ")
+				whole++
+			case errors.As(err, &refused):
+				b.is.Equal(refused.ErrorCode, http3.ErrCodeRequestRejected)
+				rejected++
+			default: // the client knows of GOAWAY and sends nothing
+			}
+		}
+		b.is.True(whole > 0)
+		b.is.True(rejected <= 1)
+		b.is.Equal(u.count(""), whole)
+	}, u, u)
+}
--- a/internal/agent/socket.go
+++ b/internal/agent/socket.go
@@ -24,7 +24,7 @@
 	refusing  bool                         // new flows are not taken
 	goneEntry map[netip.AddrPort]time.Time // since when
 	entries   []netip.AddrPort             // live ones
-	takes     map[netip.AddrPort]bool
+	takes     map[netip.AddrPort]bool      // peer agents, and whether they take new flows
 }
 
 // socket is the net.PacketConn below the QUIC transport. It takes datagrams
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -86,20 +88,21 @@
 	u := *in.URL
 	u.Scheme, u.Host = scheme, host
 	out := &http.Request{
-		Method: in.Method,
-		URL:    &u,
-		Host:   in.Host,
-		Header: http.Header{},
-		// The body is never nil: the transport may send a request without a
-		// body and with an Idempotency-Key twice by itself.
+		Method:        in.Method,
+		URL:           &u,
+		Host:          in.Host,
+		Header:        http.Header{},
 		Body:          x.body.reader(),
 		ContentLength: in.ContentLength,
 	}
+	if whole, ok := x.body.whole(); ok {
+		// The transport sends a body in memory together with the headers, so
+		// that an early answer never meets half a request.
+		out.Body = io.NopCloser(bytes.NewReader(whole))
+		out.ContentLength = int64(len(whole))
+	}
 	if in.ContentLength == 0 {
-		out.ContentLength = -1
-		if in.Method == http.MethodGet || in.Method == http.MethodHead {
-			out.Body = http.NoBody
-		}
+		out.Body = noBody(in.Method)
 	}
 	copyHeaders(out.Header, in.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
@@ -109,6 +112,16 @@
 	return out
 }
 
+// noBody returns the body of a request without one. It is http.NoBody for
+// methods without side effects only: the transport may send such a request
+// twice by itself when it has an Idempotency-Key.
+func noBody(method string) io.ReadCloser {
+	if method == http.MethodGet || method == http.MethodHead {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(nil))
+}
+
 func (u *upstreamClient) close() {
 	u.pooled.CloseIdleConnections()
 	u.fresh.CloseIdleConnections()
