Choose between running and relaying by usage and faded reports

Now a report's moment fades, with its age in runs, towards a mean that the receiver keeps; the mean also counts by itself with a weight of 4, and waiting requests are part of it, so that nobody relays into a full fleet.

The latency signal: one run counts at most 6 times the mean, and a mean of less than 10 runs is not judged.

--- a/internal/admission/latency.go
+++ b/internal/admission/latency.go
@@ -6,13 +6,21 @@
 	// baselineWeight is the weight of one sample in the long-term mean.
 	baselineWeight = 0.02
 	// recentWeight is the weight of one sample in the short-term means.
-	recentWeight = 0.25
+	recentWeight = 0.2
 	// slowRatio is the short-term latency over the long-term mean at which
 	// the upstream counts as overloaded.
-	slowRatio = 4
+	slowRatio = 3.5
+	// ratioBound bounds what one long run adds to the short-term latency.
+	ratioBound = 6
+	// overdueRatio is the time of a run over its mean from which it counts as
+	// stuck.
+	overdueRatio = 8
 	// failingShare is the short-term share of failures at which the upstream
 	// counts as overloaded.
 	failingShare = 0.6
+	// judgedSamples is the number of runs of a kind after which its latency
+	// is judged.
+	judgedSamples = 10
 	// tailDeviations is how many mean deviations above the mean a long run
 	// is.
 	tailDeviations = 4
@@ -25,7 +33,8 @@
 	deviation float64 // mean absolute deviation, seconds
 }
 
-// observe adds one service time and returns it relative to the mean before.
+// observe adds one service time and returns it relative to the mean before, 1
+// while the mean is not known well.
 func (k *kindTimes) observe(seconds float64) float64 {
 	k.samples++
 	if k.samples == 1 {
@@ -35,11 +44,14 @@
 	}
 	ratio := seconds / max(k.mean, 1e-9)
 	// A single long run must not raise what counts as normal.
-	bounded := min(seconds, slowRatio*k.mean)
+	bounded := min(seconds, ratioBound*k.mean)
 	weight := max(baselineWeight, 1/float64(k.samples))
 	difference := bounded - k.mean
 	k.mean += weight * difference
 	k.deviation += weight * (max(difference, -difference) - k.deviation)
+	if k.samples < judgedSamples {
+		return 1
+	}
 	return ratio
 }
 
@@ -81,7 +93,7 @@
 		seconds := took.Seconds()
 		h.all.observe(seconds)
 		ratio := h.times(kind).observe(seconds)
-		h.slow += recentWeight * (ratio - h.slow)
+		h.slow += recentWeight * (min(ratio, ratioBound) - h.slow)
 	}
 	return h.failing > failingShare || h.slow > slowRatio
 }
@@ -96,7 +108,7 @@
 // upstream may be overloaded.
 func (h *health) overdue(kind string, running time.Duration) bool {
 	k := h.kinds[kind]
-	return k != nil && k.samples > 1 && running.Seconds() > 2*slowRatio*k.mean
+	return k != nil && k.samples >= judgedSamples && running.Seconds() > overdueRatio*k.mean
 }
 
 // mean returns the expected service time over all kinds, 0 when unknown.
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -18,6 +18,7 @@
 	queue    queue
 	ramp     ramp
 	health   health
+	usage    usage
 }
 
 type run struct {
@@ -134,6 +135,7 @@
 		return Change{}
 	}
 	busy := len(l.running)
+	l.usage.advance(now, busy+l.queue.len(), l.now.Slots)
 	delete(l.running, id)
 	l.judge(now, l.health.observe(r.kind, now.Sub(r.began), result), result, busy)
 	l.ramp.advance(now, l.now.Slots)
@@ -146,6 +148,7 @@
 	if _, ok := l.running[id]; !ok {
 		return Change{}
 	}
+	l.usage.advance(now, len(l.running)+l.queue.len(), l.now.Slots)
 	delete(l.running, id)
 	l.ramp.successes++
 	l.ramp.advance(now, l.now.Slots)
@@ -249,6 +252,7 @@
 }
 
 func (l *Limiter) start(now time.Time, w *Work) {
+	l.usage.advance(now, len(l.running)+l.queue.len(), l.now.Slots)
 	l.running[w.ID] = run{kind: w.Kind, began: now}
 }
 
@@ -269,8 +273,12 @@
 	return min(l.now.Slots, l.ramp.limit(l.now.Slots))
 }
 
+// MeanRun returns the mean service time that was observed, 0 when unknown.
+func (l *Limiter) MeanRun() time.Duration { return l.health.mean() }
+
 // Load returns the present state.
-func (l *Limiter) Load() Load {
+func (l *Limiter) Load(now time.Time) Load {
+	l.usage.advance(now, len(l.running)+l.queue.len(), l.now.Slots)
 	limit := l.limit()
 	return Load{
 		Busy:        len(l.running),
@@ -279,5 +287,6 @@
 		Queued:      l.queue.len(),
 		Connections: l.now.Connections,
 		Cold:        l.now.State == StateCold || (limit > 0 && !l.ramp.full()),
+		Usage:       l.usage.mean,
 	}
 }
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -106,4 +106,7 @@
 	Queued      int
 	Connections int // announced
 	Cold        bool
+	// Usage is the mean share of the announced slots in use over the last
+	// seconds.
+	Usage float64
 }
--- a/internal/request/engine.go
+++ b/internal/request/engine.go
@@ -29,6 +29,7 @@
 type Engine struct {
 	self    Ref
 	start   time.Time
+	now     time.Time // of the last event
 	random  *rand.Rand
 	limiter *admission.Limiter
 	ledger  ledger
@@ -53,6 +54,7 @@
 	return &Engine{
 		self:    Ref{Addr: o.Self.Addr, Incarnation: o.Self.Incarnation},
 		start:   o.Start,
+		now:     o.Start,
 		random:  o.Random,
 		limiter: admission.New(limiterSettings(o.Targets)),
 		ledger:  newLedger(o.Ledger, retention),
@@ -95,10 +97,16 @@
 	return r
 }
 
-// Load returns the state of the admission. While the agent takes no new work
-// the limit is 0.
+// Report returns the load report for the peers.
+func (e *Engine) Report(now time.Time) PeerReport {
+	e.now = now
+	return PeerReport{Peer: e.Clock(now), Load: e.Load()}
+}
+
+// Load returns the state of the admission at the last event. While the agent
+// takes no new work the limit is 0.
 func (e *Engine) Load() admission.Load {
-	l := e.limiter.Load()
+	l := e.limiter.Load(e.now)
 	if e.draining || e.zoneOut {
 		l.Limit = 0
 	}
@@ -195,7 +203,10 @@
 }
 
 // begin starts one step.
-func (e *Engine) begin(now time.Time) { e.ledger.expire(now) }
+func (e *Engine) begin(now time.Time) {
+	e.now = now
+	e.ledger.expire(now)
+}
 
 func (e *Engine) do(a Action) { e.actions = append(e.actions, a) }
 
--- a/internal/request/finish.go
+++ b/internal/request/finish.go
@@ -89,26 +89,40 @@
 // a relay.
 func (e *Engine) retryIdempotent(now time.Time, j *job, r Result) {
 	final := r.Passed || j.Class.StayConnected || r.Reason == ReasonUpstreamTimeout
-	if final || !e.canRetry(now, j) || !e.budgets.spend(j.Class.Name) {
+	switch {
+	case final:
 		e.finish(now, j, OutcomeUnknown, r.Reason)
+	case j.phase == phaseRelayed:
+		e.retryHere(now, j, r.Reason)
+	default:
+		e.retryAtPeer(now, j, r.Reason)
+	}
+}
+
+func (e *Engine) retryHere(now time.Time, j *job, reason Reason) {
+	if e.closed() != ReasonNone || !e.spendRetry(j) {
+		e.finish(now, j, OutcomeUnknown, reason)
 		return
 	}
-	j.retries++
-	if j.phase == phaseRelayed {
-		e.offer(now, j)
+	e.offer(now, j)
+}
+
+func (e *Engine) retryAtPeer(now time.Time, j *job, reason Reason) {
+	best := e.lightest(now, j)
+	if e.zoneOut || len(j.Via) >= MaxRelays || !best.hasRoom() || !e.spendRetry(j) {
+		e.finish(now, j, OutcomeUnknown, reason)
 		return
 	}
-	p, _ := e.lightest(now, j)
-	e.relay(now, j, p, r.Reason)
+	e.relay(now, j, best.peer, reason)
 }
 
-// canRetry reports whether there is another place for an idempotent request.
-func (e *Engine) canRetry(now time.Time, j *job) bool {
-	if j.phase == phaseRelayed {
-		return e.closed() == ReasonNone
+// spendRetry takes a token of the class's retry budget.
+func (e *Engine) spendRetry(j *job) bool {
+	if !e.budgets.spend(j.Class.Name) {
+		return false
 	}
-	p, there := e.lightest(now, j)
-	return p != nil && there <= 1 && len(j.Via) < MaxRelays && !e.zoneOut
+	j.retries++
+	return true
 }
 
 // success ends a request with the answer of the upstream or of a peer.
--- a/internal/request/peers.go
+++ b/internal/request/peers.go
@@ -12,20 +12,31 @@
 
 const (
 	// peerFreshFor is how long a peer's report is used.
-	peerFreshFor = 2 * time.Second
+	peerFreshFor = 5 * time.Second
 	// reportLag is how long before its arrival a report was taken at most;
 	// relays sent within it are not in the report.
 	reportLag = 2 * time.Millisecond
 	// peerSamples is how many peers one choice compares.
 	peerSamples = 8
+	// usageWeight is the weight of the usage of the last seconds against the
+	// load of the moment.
+	usageWeight = 4
+	// usageSpan is the time constant of a peer's usage.
+	usageSpan = 4 * time.Second
+	// usageSamples is the least number of reports that make up the usage.
+	usageSamples = 10
+	// roomShare is the estimated share in use up to which a peer has room.
+	roomShare = 1.5
 )
 
 // peer is what is known of one peer agent.
 type peer struct {
-	ref  Ref
-	load admission.Load
-	at   time.Time
-	sent []time.Time // relays under way that are not in the report
+	ref     Ref
+	load    admission.Load
+	at      time.Time
+	usage   float64 // mean share of the slots in use, waiting requests included
+	reports int
+	sent    []time.Time // relays under way that are not in the report
 }
 
 // peers are the agents of the same service that reported their load.
@@ -54,6 +65,10 @@
 	if !r.Peer.Same(have.ref) {
 		have.sent = nil
 	}
+	if !r.Peer.Same(have.ref) {
+		have.reports = 0
+	}
+	have.average(now, r.Load)
 	have.ref = r.Peer
 	have.load = r.Load
 	have.at = now
@@ -61,6 +76,16 @@
 	have.sent = slices.DeleteFunc(have.sent, func(t time.Time) bool { return t.Before(lag) })
 }
 
+// average takes a report into the peer's usage. Few reports of a busy moment
+// must not count as a steady load, however far apart they are.
+func (x *peer) average(now time.Time, l admission.Load) {
+	x.reports++
+	share := float64(l.Busy+l.Queued) / float64(max(1, l.Slots))
+	weight := -math.Expm1(-float64(now.Sub(x.at)) / float64(usageSpan))
+	weight = max(1/float64(x.reports), min(weight, 1.0/usageSamples))
+	x.usage += weight * (share - x.usage)
+}
+
 func older(a, b Ref) bool {
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation < b.Incarnation
@@ -101,21 +126,32 @@
 	}
 }
 
-// least returns the peer with the lowest share of its limit in use with one
-// request more, out of a random sample, and that share.
-func (p *peers) least(now time.Time, maxAge time.Duration, tried, via []netip.AddrPort) (*peer, float64) {
-	var best *peer
-	lowest := math.Inf(1)
+// choice is a peer that a request may be relayed to.
+type choice struct {
+	peer  *peer   // nil when there is none
+	share float64 // estimated share of its limit in use with the request
+	score float64 // share and weighted usage
+}
+
+// hasRoom reports whether the peer can probably start the request soon.
+func (c choice) hasRoom() bool { return c.peer != nil && c.share <= roomShare }
+
+// least returns the peer with the lowest score in a random sample. Run is the
+// mean time of a run.
+func (p *peers) least(now time.Time, maxAge, run time.Duration, tried, via []netip.AddrPort) choice {
+	best := choice{score: math.Inf(1)}
 	for _, x := range p.sample() {
 		age := now.Sub(x.at)
 		if age > maxAge || slices.Contains(tried, x.ref.Addr) || slices.Contains(via, x.ref.Addr) {
 			continue
 		}
-		if s := x.share(); s < lowest {
-			best, lowest = x, s
+		share := x.share(age, run)
+		score := share + usageWeight*x.usage
+		if score < best.score {
+			best = choice{peer: x, share: share, score: score}
 		}
 	}
-	return best, lowest
+	return best
 }
 
 // sample moves peerSamples random peers to the front of the list and returns
@@ -129,8 +165,18 @@
 	return p.list[:n]
 }
 
-func (x *peer) share() float64 {
-	return share(x.load.Busy+x.load.Queued+len(x.sent)+1, x.load.Limit)
+// share estimates the share of the peer's limit in use with one request more.
+// What a report says of the moment fades with its age in runs towards the
+// usage.
+func (x *peer) share(age, run time.Duration) float64 {
+	if x.load.Limit <= 0 {
+		return math.Inf(1)
+	}
+	limit := float64(x.load.Limit)
+	usage := x.usage * float64(x.load.Slots) / limit
+	reported := float64(x.load.Busy+x.load.Queued) / limit
+	weight := math.Exp(-float64(age) / float64(max(run, time.Millisecond)))
+	return usage + (reported-usage)*weight + float64(len(x.sent)+1)/limit
 }
 
 // share returns the part of the limit that is in use.
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// relayMargin is how much lower a peer's share in use must be for a request
-// that could run here.
-const relayMargin = 0.1
+// relayMargin is how much lower a peer's score must be for a request that could
+// run here.
+const relayMargin = 0.4
 
 // relayIfLighter relays a request that this agent could take when a peer is
 // clearly less loaded.
@@ -15,16 +15,16 @@
 	if len(j.Via) >= MaxRelays {
 		return false
 	}
-	load := e.limiter.Load()
+	load := e.limiter.Load(now)
 	here := share(load.Busy+load.Queued+1, load.Limit)
 	if len(j.Via) > 0 && here <= 1 {
 		return false
 	}
-	p, there := e.lightest(now, j)
-	if p == nil || there > 1 || there >= here-relayMargin {
+	best := e.lightest(now, j)
+	if !best.hasRoom() || best.score >= here+usageWeight*load.Usage-relayMargin {
 		return false
 	}
-	e.relay(now, j, p, e.busyReason(here))
+	e.relay(now, j, best.peer, e.busyReason(here))
 	return true
 }
 
@@ -42,25 +42,22 @@
 		e.finish(now, j, OutcomeNotRun, reason)
 		return
 	}
-	p, there := e.lightest(now, j)
-	if p == nil || there > 1 {
+	best := e.lightest(now, j)
+	if !best.hasRoom() {
 		e.finish(now, j, OutcomeNotRun, reason)
 		return
 	}
-	if len(j.tried) > 0 || j.shed {
-		if !e.budgets.spend(j.Class.Name) {
-			e.finish(now, j, OutcomeNotRun, ReasonBudget)
-			return
-		}
-		j.retries++
+	again := len(j.tried) > 0 || j.shed
+	if again && !e.spendRetry(j) {
+		e.finish(now, j, OutcomeNotRun, ReasonBudget)
+		return
 	}
-	e.relay(now, j, p, reason)
+	e.relay(now, j, best.peer, reason)
 }
 
-// lightest returns the peer with the lowest share in use among those that the
-// request has not been at.
-func (e *Engine) lightest(now time.Time, j *job) (*peer, float64) {
-	return e.peers.least(now, e.peerAge(now), j.tried, j.Via)
+// lightest returns the best peer among those that the request has not been at.
+func (e *Engine) lightest(now time.Time, j *job) choice {
+	return e.peers.least(now, e.peerAge(now), e.limiter.MeanRun(), j.tried, j.Via)
 }
 
 // peerAge returns how old a peer's report may be. The peer refuses a relay
