Let several crocus-try runs share a machine

Cause: a second run failed with 'address already in use', as all runs took the same loopback net. Conclusion: the default stays; a net outside loopback is refused.

--- a/cmd/crocus-try/main.go
+++ b/cmd/crocus-try/main.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
 
 	"crocusnotch/internal/devcerts"
@@ -29,12 +31,16 @@
 
 const defaultScale = 0.05
 
+// errNet reports a net that is not of loopback.
+var errNet = errors.New("net: must be an IPv4 loopback address such as 127.24.0.0")
+
 type options struct {
 	profile    string
 	scenario   string
 	report     string
 	plot       string
 	writeCerts string
+	net        string
 	seed       uint64
 	scale      float64
 	logs       bool
@@ -54,7 +60,7 @@
 }
 
 func parse() options {
-	o := options{profile: "mtkvari", scale: defaultScale}
+	o := options{profile: "mtkvari", scale: defaultScale, net: experiment.DefaultNet.String()}
 	p := flaggy.NewParser("crocus-try")
 	p.Description = "tries a whole fleet on loopback and reports what callers saw"
 	p.Version = version
@@ -64,6 +70,7 @@
 	p.Float64(&o.scale, "", "scale", "factor on the number of flows")
 	p.String(&o.report, "r", "report", "JSON file for the report")
 	p.String(&o.plot, "", "plot", "SVG file for the load of each upstream over time")
+	p.String(&o.net, "", "net", "loopback net of the run, so that several can run at once")
 	p.Bool(&o.logs, "", "logs", "write the logs of entries and agents to standard error")
 	p.String(&o.writeCerts, "", "write-certs", "write trial certificates into this directory and exit")
 	exitOn(p.Parse(), exitInvalid)
@@ -90,8 +97,12 @@
 	if o.logs {
 		logs = os.Stderr
 	}
+	network, err := netip.ParseAddr(o.net)
+	if err != nil || !network.Is4() || !network.IsLoopback() {
+		return errNet
+	}
 	report, err := experiment.Run(ctx, s, experiment.Options{
-		Net: experiment.DefaultNet, Scale: o.scale,
+		Net: network, Scale: o.scale,
 		Log: slog.New(slog.NewJSONHandler(logs, nil)), Progress: os.Stderr,
 	})
 	if report != nil {
