Simulate baselines of placement beside a run's imbalance

A run's imbalance needs something to be compared with. A small simulation with the scenario's speeds, slots and load gives the same figure for an ideal central queue, a plain hash of flows, and the better of two random upstreams. Callers send their remaining time as Crocus-Deadline-Ms and count requests whose time ended apart from those without an answer.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -132,3 +132,16 @@
 	is.Equal(windowed["bells"], 1.5)
 	is.Equal(whole["bells"], 1.5)
 }
+
+// The central queue cannot be beaten by policies that know less.
+func TestBaselinesKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	s, err := Profile("mtkvari")
+	is.NoErr(err)
+	bells := &s.Services[0]
+	value := func(p policy) float64 { return simulate(p, bells, 0.8, time.Minute, 1).Windowed }
+	central := value(policyCentral)
+	is.True(central >= 1)
+	is.True(central < value(policyTwoRandom))
+	is.True(value(policyTwoRandom) < value(policyHash))
+}
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -24,6 +24,7 @@
 	"rss_mb and cpu_percent are of the one process that runs everything: entries, agents and the stand-ins",
 	"control_cpu_percent is null: the processor time of control cannot be separated within one process",
 	"control_bytes_per_second is the greatest of any process of the role, both directions, membership and jsonrpc2 as its status counts them",
+	"imbalance_baselines_simulated are of a simulation with the scenario's first load factor, without faults, network and refusals",
 	"imbalance compares warm upstreams in service over windows of 5 s; imbalance_whole over the whole run",
 }
 
@@ -57,6 +58,8 @@
 
 	Imbalance      map[string]float64 `json:"imbalance"`
 	ImbalanceWhole map[string]float64 `json:"imbalance_whole"`
+	// Baselines are simulated imbalances by policy and service.
+	Baselines map[string]map[string]Simulated `json:"imbalance_baselines_simulated"`
 
 	ZoneOutSeconds *float64 `json:"zone_out_last_packet_seconds"`
 	ZoneBackRatio  *float64 `json:"zone_back_success_ratio"`
@@ -119,6 +122,7 @@
 		out.StreamsBroken[c] += 0
 	}
 	out.Imbalance, out.ImbalanceWhole = r.imbalance()
+	out.Baselines = w.scenario.baselines()
 	r.addSteps(out)
 	return out
 }
@@ -171,6 +175,9 @@
 	row("wrong service / crossed / truncated", fmt.Sprintf("%d / %d / %d", r.WrongService, r.Crossed, r.Truncated))
 	row("imbalance, windows of 5 s", figures(r.Imbalance))
 	row("imbalance, whole run", figures(r.ImbalanceWhole))
+	for _, name := range slices.Sorted(maps.Keys(r.Baselines)) {
+		row("  simulated, "+name, simulatedFigures(r.Baselines[name]))
+	}
 	row("zone out, last packet after s", figure(r.ZoneOutSeconds))
 	row("zone back, share of requests that ran", figure(r.ZoneBackRatio))
 	row("configuration in force after s", figure(r.InForceSeconds))
@@ -200,6 +207,14 @@
 	return text
 }
 
+func simulatedFigures(m map[string]Simulated) string {
+	text := ""
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		text += fmt.Sprintf("%s %.3f windowed, %.3f whole  ", k, m[k].Windowed, m[k].Whole)
+	}
+	return text
+}
+
 func figure(v *float64) string {
 	if v == nil {
 		return "not measured"
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -22,6 +22,7 @@
 	requestBody     = "crocusnotch trial request"
 	noFlow          = "no-flow"
 	noAnswer        = "no-answer"
+	timedOut        = "timed-out"
 	refusedByStatus = "status-"
 )
 
@@ -113,7 +114,11 @@
 	req := p.prepare(ctx, k, id, attempt, owner, &taken)
 	res, err := f.client.RoundTrip(req)
 	if err != nil {
-		return withOwner(outcome{known: request.OutcomeUnknown, reason: noAnswer}, taken.Load())
+		o := outcome{known: request.OutcomeUnknown, reason: noAnswer}
+		if ctx.Err() != nil {
+			o.reason = timedOut
+		}
+		return withOwner(o, taken.Load())
 	}
 	defer func() { _ = res.Body.Close() }()
 	o := p.judge(k, id, attempt, res)
@@ -140,6 +145,10 @@
 	}
 	q := payload.Request{ID: id, Attempt: attempt, Size: k.Size, Work: k.Work}
 	req := p.newRequest(httptrace.WithClientTrace(ctx, trace), method, k.Path, q)
+	if end, ok := ctx.Deadline(); ok {
+		left := max(1, time.Until(end).Milliseconds())
+		req.Header.Set(request.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
 	if !k.Idempotent {
 		req.Header.Set(request.HeaderIdempotencyKey, id)
 		req.Body = io.NopCloser(strings.NewReader(requestBody))
@@ -207,6 +216,9 @@
 		o.known, o.reason = request.OutcomeUnknown, "short"
 	case payload.Broken:
 		o.known, o.reason = request.OutcomeUnknown, noAnswer
+		if res.Request.Context().Err() != nil {
+			o.reason = timedOut
+		}
 	}
 	return o
 }
