List the reset keys of all generations

An agent that was restarted after a key rotation has to reset flows whose first process began with another signing generation, and can't tell which. ResetKeys gives it the keys of every generation that is still accepted.

--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -123,3 +123,15 @@
 // ResetKey returns the key for QUIC stateless resets of the signing
 // generation. It is the same in every process of the fleet.
 func (r *Ring) ResetKey() [resetKeySize]byte { return r.generations[r.signing].reset }
+
+// ResetKeys returns the keys for QUIC stateless resets of all accepted
+// generations.
+func (r *Ring) ResetKeys() [][resetKeySize]byte {
+	keys := make([][resetKeySize]byte, 0, r.count)
+	for _, d := range r.generations {
+		if d != nil {
+			keys = append(keys, d.reset)
+		}
+	}
+	return keys
+}
--- a/internal/keyring/keyring_test.go
+++ b/internal/keyring/keyring_test.go
@@ -61,3 +61,12 @@
 	data := make([]byte, 54)
 	is.Equal(testing.AllocsPerRun(100, func() { r.MAC(1, PurposeDatagram, data) }), 0.0)
 }
+
+func TestResetKeysCoverAllGenerations(t *testing.T) {
+	is := is.New(t)
+	r := ringOf(t, 2, 1, 2)
+	keys := r.ResetKeys()
+	is.Equal(len(keys), 2)
+	is.Equal(keys[1], r.ResetKey())
+	is.True(keys[0] != keys[1])
+}
