--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return errors.Wrap(err, "data")
 	}
-	a.socket = newSocket(conn, a.settings.Data, &a.metrics.socket)
+	a.socket = newSocket(conn, a.settings.Data, uint16(a.incarnation), &a.metrics.socket)
 	if a.relayListener, err = a.deps.Network.Listen(a.settings.Relay); err != nil {
 		return errors.Wrap(err, "relay")
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -70,19 +70,23 @@
 	}, upstream)
 }
 
+// TestKilledAgentResetsItsFlowsAfterRestart lets the keep-alive of an idle flow
+// find out, also when the signing key was rotated in between.
 func TestKilledAgentResetsItsFlowsAfterRestart(t *testing.T) {
 	inBubble(t, func(b *bench) {
-		c := b.mustDial()
-		_, _, _, err := c.get("GET", "/", nil)
-		b.is.NoErr(err)
-		b.agents[0].kill()
-		b.agents[0] = b.restart(b.agents[0])
-		time.Sleep(time.Second)
-		_, _, _, err = c.get("GET", "/", nil)
-		var reset *quic.StatelessResetError
-		b.is.True(errors.As(err, &reset))
-		again := b.mustDial()
-		status, _, _, err := again.get("GET", "/", nil)
+		for _, signing := range []uint8{1, 2, 2, 1} {
+			c := b.mustDial()
+			_, _, _, err := c.get("GET", "/", nil)
+			b.is.NoErr(err)
+			b.cluster.setConfig(testConfig(signing, false))
+			time.Sleep(100 * time.Millisecond)
+			b.agents[0].kill()
+			b.agents[0] = b.restart(b.agents[0])
+			time.Sleep(11 * time.Second)
+			var reset *quic.StatelessResetError
+			b.is.True(errors.As(context.Cause(c.conn.Context()), &reset))
+		}
+		status, _, _, err := b.mustDial().get("GET", "/", nil)
 		b.is.NoErr(err)
 		b.is.Equal(status, 200)
 	}, echo)
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -367,19 +367,31 @@
 }
 
 func (b *bench) dialContext(ctx context.Context) (*caller, error) {
+	c := b.prepare()
+	return c, b.connect(ctx, c)
+}
+
+// prepare opens a caller's socket.
+func (b *bench) prepare() *caller {
 	c := &caller{addr: addr(200, 1000+len(b.callers))}
 	b.callers = append(b.callers, c)
 	c.transport = &quic.Transport{Conn: callerConn{b.net.endpoint(c.addr)}, ConnectionIDLength: 8}
+	return c
+}
+
+func (b *bench) connect(ctx context.Context, c *caller) error {
 	tlsConf := &tls.Config{RootCAs: testPool(), ServerName: "bells.example", NextProtos: []string{http3.NextProtoH3}}
+	// Every process makes a certificate of its own.
+	tlsConf.InsecureSkipVerify = b.net.bridge != nil
 	var err error
 	c.conn, err = c.transport.Dial(ctx, net.UDPAddrFromAddrPort(serviceAddr), tlsConf, &quic.Config{
 		KeepAlivePeriod: 10 * time.Second, DisablePathMTUDiscovery: true,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.http = (&http3.Transport{DisableCompression: true}).NewClientConn(c.conn)
-	return c, nil
+	return nil
 }
 
 func (b *bench) mustDial() *caller {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -21,6 +21,7 @@
 	dropKind      dropReason = "kind"
 	dropService   dropReason = "wrong-service"
 	dropOwner     dropReason = "wrong-owner"
+	dropFormer    dropReason = "former-incarnation"
 	dropPaths     dropReason = "paths-full"
 	dropNoPath    dropReason = "no-path"
 	dropSend      dropReason = "send-failed"
@@ -110,7 +111,7 @@
 func dropReasons() []dropReason {
 	return []dropReason{
 		dropNoKeys, dropShort, dropMalformed, dropKey, dropMAC, dropKind, dropService,
-		dropOwner, dropPaths, dropNoPath, dropSend, dropLoad,
+		dropOwner, dropFormer, dropPaths, dropNoPath, dropSend, dropLoad,
 	}
 }
 
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -28,6 +28,7 @@
 	ring      *keyring.Ring
 	service   uint16
 	entries   []*testEntry
+	bridge    *net.UDPConn // to agents in other processes, when set
 	// split, when set, picks the entry for a packet instead of the spray.
 	split func() int
 }
@@ -89,6 +90,10 @@
 }
 
 func (n *memoryNetwork) deliver(data []byte, from, to netip.AddrPort) {
+	if n.bridge != nil && to == measuredData {
+		_, _ = n.bridge.WriteToUDPAddrPort(data, to)
+		return
+	}
 	p := packet{data: append([]byte(nil), data...), from: from}
 	time.AfterFunc(linkDelay, func() {
 		n.mu.Lock()
--- a/internal/agent/socket.go
+++ b/internal/agent/socket.go
@@ -31,28 +31,31 @@
 // from entries and peer agents, strips their header, and sends answers back
 // through the entry that last brought a packet of the caller.
 type socket struct {
-	self    netip.AddrPort
-	conn    DatagramConn
-	view    atomic.Pointer[sharedView]
-	paths   *pathTable
-	hunter  *hunter
-	load    func() flowLoad
-	peer    func(netip.AddrPort, time.Time) (flowLoad, bool)
-	report  func(from netip.AddrPort, datagram []byte)
-	metrics *socketMetrics
+	self netip.AddrPort
+	// incarnation is what the owner tokens of this process carry.
+	incarnation uint16
+	conn        DatagramConn
+	view        atomic.Pointer[sharedView]
+	paths       *pathTable
+	hunter      *hunter
+	load        func() flowLoad
+	peer        func(netip.AddrPort, time.Time) (flowLoad, bool)
+	report      func(from netip.AddrPort, datagram []byte)
+	metrics     *socketMetrics
 
 	read  []byte // owned by the reader
 	write sync.Pool
 }
 
-func newSocket(conn DatagramConn, self netip.AddrPort, m *socketMetrics) *socket {
+func newSocket(conn DatagramConn, self netip.AddrPort, incarnation uint16, m *socketMetrics) *socket {
 	s := &socket{
-		self:    self,
-		conn:    conn,
-		paths:   newPathTable(),
-		hunter:  newHunter(self),
-		metrics: m,
-		read:    make([]byte, datagramSize),
+		self:        self,
+		incarnation: incarnation,
+		conn:        conn,
+		paths:       newPathTable(),
+		hunter:      newHunter(self),
+		metrics:     m,
+		read:        make([]byte, datagramSize),
 	}
 	s.write.New = func() any { return new([datagramSize]byte) }
 	s.view.Store(&sharedView{})
@@ -111,26 +114,46 @@
 		s.metrics.drop(dropOwner)
 		return false
 	}
-	owned := owner == ownerSelf
-	if !owned && !s.keep(now, v, h, b, payload) {
+	if owner == ownerNone && !s.keep(now, v, h, b, payload) {
 		return false
 	}
 	p := path{entry: h.Entry, destination: h.Destination, seen: now}
-	if !s.paths.put(h.Caller, p, owned) {
+	if !s.paths.put(h.Caller, p, owner != ownerNone) {
 		s.metrics.drop(dropPaths)
 		return false
 	}
+	if owner == ownerFormer {
+		s.reset(v, h, payload)
+		return false
+	}
 	s.metrics.packetsIn.Inc()
 	return true
 }
 
+// reset tells a caller that its flow ended with an earlier incarnation of this
+// agent. That one may have begun with any generation that is still known.
+func (s *socket) reset(v *sharedView, h *wire.Header, packet []byte) {
+	s.metrics.drop(dropFormer)
+	id, long := destinationID(packet)
+	// A reset is shorter than what it answers, so that two ends can't answer
+	// each other's resets for ever.
+	size := min(maxResetSize, len(packet)-1)
+	if long || size < minResetSize {
+		return
+	}
+	for _, key := range v.ring.ResetKeys() {
+		_, _ = s.WriteTo(statelessReset(key, id, size), net.UDPAddrFromAddrPort(h.Caller))
+	}
+}
+
 // ownership tells whose flow a packet belongs to.
 type ownership uint8
 
 const (
-	ownerNone  ownership = iota // no owner token: first packets of a flow
-	ownerSelf                   // this agent, in this or an earlier incarnation
-	ownerOther                  // not for this agent
+	ownerNone   ownership = iota // no owner token: first packets of a flow
+	ownerSelf                    // this incarnation of this agent
+	ownerFormer                  // an earlier incarnation of this agent
+	ownerOther                   // not for this agent
 )
 
 func (s *socket) ownerOf(v *sharedView, h *wire.Header, packet []byte) ownership {
@@ -145,6 +168,9 @@
 	if token.Agent != s.self || token.Service != h.Service {
 		return ownerOther
 	}
+	if token.Incarnation != s.incarnation {
+		return ownerFormer
+	}
 	return ownerSelf
 }
 
--- a/internal/agent/token.go
+++ b/internal/agent/token.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -10,6 +13,17 @@
 	"crocusnotch/internal/routing"
 )
 
+const (
+	// Lengths of a stateless reset, which looks like a short packet, and of
+	// the token at its end, in bytes.
+	maxResetSize   = 42
+	minResetSize   = 21
+	resetTokenSize = 16
+	// shortHeader are the fixed bits of a short header's first byte.
+	shortHeader = 0x40
+	shortMask   = 0x3f
+)
+
 // errNotServing is returned while the agent has no keys.
 var errNotServing = errors.New("agent: no keys yet")
 
@@ -34,3 +48,14 @@
 
 // ConnectionIDLen implements quic.ConnectionIDGenerator.
 func (t *tokenSource) ConnectionIDLen() int { return routing.TokenSize }
+
+// statelessReset returns a reset of the size for a connection ID (RFC 9000,
+// section 10.3) with the token that the QUIC transport derives from the key.
+func statelessReset(key [32]byte, id []byte, size int) []byte {
+	mac := hmac.New(sha256.New, key[:])
+	_, _ = mac.Write(id)
+	b := make([]byte, size-resetTokenSize, size)
+	_, _ = rand.Read(b)
+	b[0] = b[0]&shortMask | shortHeader
+	return append(b, mac.Sum(nil)[:resetTokenSize]...)
+}
