--- a/internal/experiment/baseline.go
+++ b/internal/experiment/baseline.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -12,7 +11,7 @@
 
 // Policies of the baselines.
 const (
-	policyCentral   policy = iota // one queue; the free upstream with the least busy share
+	policyCentral   policy = iota // one queue; the free upstream that was busy least so far
 	policyHash                    // a fixed upstream for each flow, queues at the upstreams
 	policyTwoRandom               // the less loaded of two random upstreams, queues at the upstreams
 )
@@ -28,6 +27,7 @@
 	slots, busy, queued int
 	speed               float64
 	busyTime            float64 // slot seconds in the present window
+	used                float64 // slot seconds since the start
 	last                float64
 }
 
@@ -35,6 +35,7 @@
 
 func (n *node) advance(now float64) {
 	n.busyTime += float64(n.busy) * (now - n.last)
+	n.used += float64(n.busy) * (now - n.last)
 	n.last = now
 }
 
@@ -141,7 +142,7 @@
 }
 
 func (m *simulation) place(now float64) {
-	n := m.choose()
+	n := m.choose(now)
 	switch {
 	case n.busy < n.slots:
 		m.begin(now, n)
@@ -152,7 +153,7 @@
 	}
 }
 
-func (m *simulation) choose() *node {
+func (m *simulation) choose(now float64) *node {
 	switch m.policy {
 	case policyHash:
 		return m.nodes[m.flows[m.rnd.IntN(len(m.flows))]]
@@ -163,15 +164,21 @@
 		}
 		return a
 	}
-	return slices.MinFunc(m.nodes, func(a, b *node) int {
-		if a.load() < b.load() {
-			return -1
-		}
-		if a.load() > b.load() {
-			return 1
+	return m.leastUsed(now)
+}
+
+// leastUsed returns the upstream with a free slot that was busy least so far,
+// relative to its slots; any upstream when none has a free slot.
+func (m *simulation) leastUsed(now float64) *node {
+	best := m.nodes[0]
+	for _, n := range m.nodes {
+		n.advance(now)
+		free := n.busy < n.slots
+		if free && (best.busy >= best.slots || n.used < best.used) {
+			best = n
 		}
-		return 0
-	})
+	}
+	return best
 }
 
 func (m *simulation) begin(now float64, n *node) {
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -96,3 +96,46 @@
 		Timeout: millis(float64(c.DeadlineMillis)) + patience,
 	}
 }
+
+// overload measures the phases in which more than the capacity is offered.
+type overload struct {
+	since   time.Time // zero outside of such a phase
+	ran     uint64    // at the start of the phase
+	total   uint64    // requests that ran in all phases
+	seconds float64
+}
+
+// setLoad changes the load factor.
+func (r *run) setLoad(factor float64) {
+	ran := r.world.callers.Totals().Outcomes["ran"]
+	r.factor.Store(&factor)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overload.end(time.Now(), ran)
+	if factor > 1 {
+		r.overload.since, r.overload.ran = time.Now(), ran
+	}
+}
+
+func (o *overload) end(now time.Time, ran uint64) {
+	if o.since.IsZero() {
+		return
+	}
+	o.total += ran - o.ran
+	o.seconds += now.Sub(o.since).Seconds()
+	o.since = time.Time{}
+}
+
+// goodput is the requests that ran while overloaded, as a share of what the
+// upstreams could run in that time.
+func (o *overload) goodput(s *Scenario) *float64 {
+	if o.seconds == 0 {
+		return nil
+	}
+	var capacity float64
+	for i := range s.Services {
+		capacity += s.Services[i].capacity()
+	}
+	share := float64(o.total) / o.seconds / capacity
+	return &share
+}
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"text/tabwriter"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -65,6 +66,10 @@
 	ZoneBackRatio  *float64 `json:"zone_back_success_ratio"`
 	InForceSeconds *float64 `json:"config_in_force_seconds"`
 
+	// OverloadGoodput is the share of the capacity that ran while the load
+	// factor was above 1.
+	OverloadGoodput *float64 `json:"overload_goodput"`
+
 	ColdOverload  uint64 `json:"cold_overload_requests"`
 	ColdSurprise  uint64 `json:"cold_overload_requests_without_warning"`
 	SlotsExceeded uint64 `json:"requests_above_slots"`
@@ -139,6 +144,8 @@
 	if r.inForceSeen {
 		out.InForceSeconds = &r.inForce
 	}
+	r.overload.end(time.Now(), out.Outcomes["ran"])
+	out.OverloadGoodput = r.overload.goodput(r.world.scenario)
 	for _, m := range r.marks {
 		out.Steps = append(out.Steps, StepTaken{Seconds: m.At.Seconds(), Step: m.Text})
 	}
@@ -181,6 +188,7 @@
 	row("zone out, last packet after s", figure(r.ZoneOutSeconds))
 	row("zone back, share of requests that ran", figure(r.ZoneBackRatio))
 	row("configuration in force after s", figure(r.InForceSeconds))
+	row("goodput above capacity, share of it", figure(r.OverloadGoodput))
 	row("cold overload announced / without warning", fmt.Sprintf("%d / %d", r.ColdOverload, r.ColdSurprise))
 	row("requests above slots / after leaving", fmt.Sprintf("%d / %d", r.SlotsExceeded, r.AfterLeaving))
 	row("control bytes a second, greatest", figures(r.ControlBytes))
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -56,10 +56,9 @@
 	zoneSeen    bool
 	inForce     float64
 	inForceSeen bool
+	overload    overload
 }
 
-func (r *run) setLoad(v float64) { r.factor.Store(&v) }
-
 func (r *run) load() float64 { return *r.factor.Load() }
 
 func (r *run) mark(text string) {
