--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -19,6 +19,7 @@
 	ramp     ramp
 	health   health
 	usage    usage
+	lowered  time.Time // when the limit last went down
 }
 
 type run struct {
@@ -137,7 +138,12 @@
 	busy := len(l.running)
 	l.usage.advance(now, busy+l.queue.len(), l.now.Slots)
 	delete(l.running, id)
-	l.judge(now, l.health.observe(r.kind, now.Sub(r.began), result), result, busy)
+	overloaded := l.health.observe(r.kind, now.Sub(r.began), result)
+	if overloaded {
+		l.lower(now, r.began, busy)
+	} else {
+		l.record(result)
+	}
 	l.ramp.advance(now, l.now.Slots)
 	return l.fill(now)
 }
@@ -155,12 +161,8 @@
 	return l.fill(now)
 }
 
-// judge moves the limit after one run that ended while busy slots were in use.
-func (l *Limiter) judge(now time.Time, overloaded bool, result Result, busy int) {
-	if overloaded {
-		l.lower(now, busy)
-		return
-	}
+// record takes in a run that shows no overload.
+func (l *Limiter) record(result Result) {
 	switch result {
 	case ResultOK:
 		l.ramp.successes++
@@ -169,12 +171,14 @@
 	}
 }
 
-// lower takes the limit back to the first step. Signals of runs that began
-// before the limit went down lower the remembered ceiling no further.
-func (l *Limiter) lower(now time.Time, busy int) {
-	if busy <= l.limit() {
+// lower takes the limit back to the first step and remembers the load that was
+// not borne. A run that began before the limit last went down tells nothing
+// new of that load.
+func (l *Limiter) lower(now, began time.Time, busy int) {
+	if began.After(l.lowered) {
 		l.ramp.ceiling = max(2, min(busy, l.now.Slots))
 	}
+	l.lowered = now
 	l.ramp.reset(now)
 	l.health.forgive()
 }
@@ -192,7 +196,7 @@
 		}
 	}
 	if 2*overdue > len(l.running) {
-		l.lower(now, len(l.running))
+		l.lower(now, now, len(l.running))
 	}
 }
 
--- /dev/null
+++ b/internal/request/claim_test.go
@@ -0,0 +1,144 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/admission"
+)
+
+// relayed is a request as a peer agent relays it to e.
+func relayed(e *Engine, id ID, key string, attempt int) Request {
+	target := e.Clock(origin)
+	r := once(id, key)
+	r.Target, r.Attempt = &target, attempt
+	return r
+}
+
+func peerOf(e *Engine, n byte) Ref {
+	p := ref(n, 7)
+	p.Clock = 1
+	e.PeerLoad(origin, PeerReport{Peer: p, Load: admission.Load{Slots: 9, Limit: 9}})
+	return p
+}
+
+func lost() Result { return Result{Outcome: OutcomeUnknown, Reason: ReasonRelayFailed, Lost: true} }
+
+func retryWithOwner(id ID, key string, attempt int, owner Ref) Request {
+	r := once(id, key)
+	r.Attempt, r.Owner = attempt, &owner
+	return r
+}
+
+// lastReply returns the reply that ends the actions.
+func lastReply(actions []Action) Reply { return actions[len(actions)-1].(Reply) }
+
+func TestRefusedRelayLeavesClaimWithSender(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(2, 1)
+	e.Arrive(origin, once(1, "other")) // the only slot
+	e.Drain(origin)
+	is.Equal(lastReply(e.Arrive(origin, relayed(e, 2, "k", 1))).Outcome, OutcomeNotRun)
+
+	q := Query{Key: "k", Attempt: 2, Target: e.Self(), Asker: ref(3, 1)}
+	is.Equal(e.Resolve(origin, q).State, ResolvedUnknown) // this agent was never the owner
+
+	sender := ref(1, 1)
+	actions := e.Arrive(origin, retryWithOwner(3, "k", 2, sender))
+	is.Equal(actions[1].(AskOwner).Owner, sender)
+}
+
+func TestClaimAfterLostRelayStaysWithSender(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(2, 1)
+	peer := peerOf(e, 3)
+	e.Drain(origin)
+	is.Equal(e.Arrive(origin, relayed(e, 1, "k", 1))[0].(RelayTo).Peer, peer)
+	is.Equal(e.RelayDone(origin, 1, lost())[0].(AskOwner).Owner, peer)
+	is.Equal(lastReply(e.OwnerAnswered(origin, 1, Resolution{State: ResolvedNotRun})).Outcome, OutcomeNotRun)
+
+	// The sender may have run it since: only the sender can tell.
+	actions := e.Arrive(origin, retryWithOwner(2, "k", 2, ref(1, 1)))
+	is.Equal(actions[1].(AskOwner).Owner, ref(1, 1))
+}
+
+func TestDoubledRelayOfLostRunIsUnknown(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(2, 1)
+	peer := peerOf(e, 3)
+	e.Drain(origin)
+	e.Arrive(origin, relayed(e, 1, "k", 1))
+	e.RelayDone(origin, 1, lost())
+	unreachable := Resolution{State: ResolvedUnknown, Reason: ReasonOwnerLost}
+	is.Equal(lastReply(e.OwnerAnswered(origin, 1, unreachable)).Outcome, OutcomeUnknown)
+
+	is.Equal(lastReply(e.Arrive(origin, relayed(e, 2, "k", 1))).Outcome, OutcomeUnknown)
+	r := e.Resolve(origin, Query{Key: "k", Attempt: 1, Target: e.Clock(origin), Asker: ref(1, 1)})
+	is.Equal(r.State, ResolvedMoved)
+	is.Equal(*r.Moved, peer)
+}
+
+func TestLostQuestionKeepsFirstPointer(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(2, 1)
+	owner, next := ref(1, 1), ref(3, 1)
+	e.Arrive(origin, retryWithOwner(1, "k", 2, owner))
+	is.Equal(e.OwnerAnswered(origin, 1, Resolution{State: ResolvedMoved, Moved: &next})[0].(AskOwner).Owner, next)
+	e.OwnerAnswered(origin, 1, Resolution{State: ResolvedUnknown, Reason: ReasonOwnerLost})
+
+	r := e.Resolve(origin, Query{Key: "k", Attempt: 3, Target: e.Self(), Asker: ref(4, 1)})
+	is.True(r.Moved.Same(owner)) // next may have granted the key to another since
+}
+
+func TestRetentionIsTyped(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	e.Arrive(origin, once(1, "k"))
+	e.UpstreamDone(origin, 1, Result{Outcome: OutcomeRan, Status: 200})
+	later := origin.Add(time.Minute) // the retention
+	e.Tick(later)
+	is.Equal(e.Counts().Entries, 0)
+	expired := lastReply(e.Arrive(later, retryWithOwner(2, "k", 2, e.Self())))
+	is.Equal(expired.Outcome, OutcomeUnknown)
+	is.Equal(expired.Reason, ReasonKeyExpired)
+}
+
+func TestLongerRetentionVouchesLate(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	target := e.Clock(origin)
+	longer := testTargets
+	longer.RetentionMillis *= 10
+	e.SetTargets(origin, longer)
+	// A tombstone made just before the change lives for the old retention.
+	r := once(1, "k")
+	r.Target, r.Deadline = &target, origin.Add(time.Hour)
+	is.Equal(lastReply(e.Arrive(origin.Add(2*time.Minute), r)).Reason, ReasonKeyExpired)
+}
+
+func TestRetriesStayInBudget(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	retries := 0
+	for id := ID(1); id <= 20; id++ {
+		peerOf(e, 2)
+		peerOf(e, 3)
+		actions := e.Arrive(origin, once(id, string(rune('a'+id))))
+		for len(actions) > 0 {
+			switch x := actions[len(actions)-1].(type) {
+			case RunUpstream:
+				actions = e.UpstreamDone(origin, id, Result{Outcome: OutcomeNotRun, Reason: ReasonShed})
+			case RelayTo:
+				if x.Retry {
+					retries++
+				}
+				actions = e.RelayDone(origin, id, Result{Outcome: OutcomeNotRun, Reason: ReasonNoSlot})
+			default:
+				actions = nil
+			}
+		}
+	}
+	is.Equal(retries, budgetStart) // none succeeds, so no token is earned
+}
