Reset broken request bodies and hand flows on from a full agent

Mended: a request body that broke off before the request was admitted made the handler return without an answer, which the HTTP/3 server completes as an empty 200; an agent at its announced connections refused a flow that candidate 2 could have taken. Events name the upstream's address and the zone, so that explain finds them by either. Shown by tests that fail without the change (reset of a broken body, full agent), and covered besides: the owner is told before the run ends, a retry through another agent replays the answer or is unknown, long streams go both ways here and through a relay, each in virtual time.

--- a/internal/agent/adopt.go
+++ b/internal/agent/adopt.go
@@ -26,7 +26,8 @@
 	if a == l.upstream {
 		return nil
 	}
-	l.event(fmt.Sprintf("%q to %q", l.upstream.State, a.State), "the upstream announced it")
+	what := fmt.Sprintf("upstream %s %s to %s", a.Address, l.upstream.stateName(), a.stateName())
+	l.event(what, fmt.Sprintf("it announced %d slots, %d connections", a.Slots, a.Connections))
 	l.upstream = a
 	l.agent.upstream.setAddress(a.Address)
 	l.agent.socket.paths.setBound(a.Connections)
@@ -82,10 +83,10 @@
 	if out {
 		l.agent.driver.zoneOut(true)
 		n := l.agent.flows.closeAll(request.ReasonZoneOut)
-		l.event("in to out", fmt.Sprintf("operators took the zone out; %d flows closed", n))
+		l.zoneEvent("in to out", fmt.Sprintf("operators took the zone out; %d flows closed", n))
 		return
 	}
-	l.event("out to in", "operators took the zone in")
+	l.zoneEvent("out to in", "operators took the zone in")
 	l.agent.flows.reopen()
 	// The upstream comes back as a fresh one.
 	l.agent.driver.announce(admission.Announcement{})
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -126,8 +126,7 @@
 	inBubble(t, func(b *bench) {
 		finish = make(chan struct{})
 		first := b.agents[0]
-		b.net.entries[0].candidates = b.net.entries[0].candidates[:1]
-		b.net.entries[1].down, b.net.entries[2].down = true, true
+		b.route(first)
 		c := b.mustDial()
 		resp, err := c.do(context.Background(), "GET", "/watch", nil)
 		b.is.NoErr(err)
@@ -138,7 +137,7 @@
 		b.is.Equal(strings.TrimSpace(progress), `{"flows":1,"running":1,"drained":false}`)
 		_, _, _, err = c.get("GET", "/", nil)
 		b.is.True(err != nil) // GOAWAY came: the next request needs a new flow
-		b.net.entries[0].candidates = b.agents[1].candidate()
+		b.route(b.agents[1])
 		next := b.mustDial() // make before break
 		_, text, _, err := next.get("GET", "/", nil)
 		b.is.NoErr(err)
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// stateName returns the announced state for people.
+func (a *Announcement) stateName() string {
+	if a.State == "" {
+		return "absent"
+	}
+	return a.State
+}
+
 // Lease is the answer to an announcement.
 type Lease struct {
 	LeaseMillis int64 `json:"leaseMillis"`
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -90,7 +90,7 @@
 }
 
 // prefetch reads a short request body before the request asks for a slot, so
-// that a slow caller holds none. It returns false when the caller has gone.
+// that a slow caller holds none. It returns false when the caller broke it off.
 func (x *exchange) prefetch() bool {
 	if x.inbound.ContentLength == 0 {
 		return true
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -239,6 +239,8 @@
 
 // spread gives every entry all agents as candidates, each in its own order.
 func (b *bench) spread() {
+	b.net.mu.Lock()
+	defer b.net.mu.Unlock()
 	for i, e := range b.net.entries {
 		e.candidates = nil
 		for j := range b.agents {
@@ -247,6 +249,18 @@
 	}
 }
 
+// route gives every entry the same candidates.
+func (b *bench) route(agents ...*testAgent) {
+	b.net.mu.Lock()
+	defer b.net.mu.Unlock()
+	for _, e := range b.net.entries {
+		e.candidates = nil
+		for _, a := range agents {
+			e.candidates = append(e.candidates, a.settings.Data)
+		}
+	}
+}
+
 func (b *bench) startAgent(n int, upstream http.Handler) *testAgent {
 	a := b.newAgent(n)
 	a.upstream = &http.Server{Handler: upstream, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0)}
@@ -268,8 +282,6 @@
 	return a
 }
 
-func (a *testAgent) candidate() []netip.AddrPort { return []netip.AddrPort{a.settings.Data} }
-
 // newAgent starts an agent without an upstream.
 func (b *bench) newAgent(n int) *testAgent {
 	b.boots++
--- a/internal/agent/flow_test.go
+++ b/internal/agent/flow_test.go
@@ -84,9 +84,7 @@
 // entries that all name the same first candidate.
 func TestFlowsSpreadByLoad(t *testing.T) {
 	inBubble(t, func(b *bench) {
-		for _, e := range b.net.entries {
-			e.candidates = []netip.AddrPort{b.agents[0].settings.Data, b.agents[1].settings.Data}
-		}
+		b.route(b.agents[0], b.agents[1])
 		for range 200 {
 			b.mustDial()
 			time.Sleep(5 * time.Millisecond)
@@ -104,7 +102,7 @@
 func TestSplitFirstPacketsEndAtOneAgent(t *testing.T) {
 	inBubble(t, func(b *bench) {
 		for i, e := range b.net.entries {
-			e.candidates = b.agents[i].candidate()
+			e.candidates = []netip.AddrPort{b.agents[i].settings.Data}
 		}
 		// The first packet goes to the first entry, all later ones to the
 		// second.
@@ -128,9 +126,7 @@
 func TestLeavingUpstreamSendsFlowsElsewhere(t *testing.T) {
 	inBubble(t, func(b *bench) {
 		leaving, other := b.agents[0], b.agents[1]
-		for _, e := range b.net.entries {
-			e.candidates = []netip.AddrPort{leaving.settings.Data, other.settings.Data}
-		}
+		b.route(leaving, other)
 		b.mustDial()
 		leaving.silence()
 		b.is.Equal(b.announce(leaving, "leaving", 5), 200)
@@ -179,6 +175,26 @@
 	is.Equal(v.entryFor(&path{entry: b}, addr(9, 9)), b)
 }
 
+func TestFullAgentHandsFlowsOn(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(1)
+	initial := []byte{0xc0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8}
+	for _, tt := range []struct {
+		load flowLoad
+		kept bool
+	}{{flowLoad{1, 2}, true}, {flowLoad{2, 2}, false}} {
+		s := fuzzSocket(ring)
+		s.load = func() flowLoad { return tt.load }
+		b := make([]byte, wire.HeaderSize, wire.HeaderSize+len(initial))
+		wire.PutHeader(b, ring, &wire.Header{
+			Kind: wire.KindToAgent, Service: 7, Caller: addr(9, 9),
+			Destination: serviceAddr, Entry: addr(100, 1), Second: addr(2, 1),
+		})
+		_, _, kept := s.accept(append(b, initial...), addr(100, 1))
+		is.Equal(kept, tt.kept)
+	}
+}
+
 // FuzzDatagram checks that nothing that arrives makes the socket panic or
 // passes a packet to the transport without a valid header for this agent.
 func FuzzDatagram(f *testing.F) {
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -71,7 +71,8 @@
 		h.sayOwner(w)
 	}
 	if !class.StayConnected && !x.prefetch() {
-		return
+		// To return here would send an empty success.
+		panic(http.ErrAbortHandler)
 	}
 	h.driver.arrive(x, q)
 	stop := context.AfterFunc(r.Context(), func() { h.driver.cancelled(x.id) })
--- a/internal/agent/hunt.go
+++ b/internal/agent/hunt.go
@@ -56,6 +56,9 @@
 	return l.flows*other.connections > other.flows*l.connections
 }
 
+// full reports whether no flow more is borne.
+func (l flowLoad) full() bool { return l.flows >= l.connections }
+
 // huntView is what is known when a first packet arrives.
 type huntView struct {
 	refusing bool // new flows are not taken here
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -229,7 +229,8 @@
 func (l *loop) check() {
 	now := time.Now()
 	if l.present() && now.After(l.leaseUntil) {
-		l.event(fmt.Sprintf("%q to none", l.upstream.State), "the upstream's lease lapsed")
+		what := fmt.Sprintf("upstream %s %s to absent", l.upstream.Address, l.upstream.stateName())
+		l.event(what, "its lease lapsed")
 		l.upstream = Announcement{}
 		l.tellEngine()
 	}
@@ -240,8 +241,16 @@
 	l.publish()
 }
 
+// event records a change of state under the service's name.
 func (l *loop) event(what, why string) {
-	now := time.Now()
-	l.agent.deps.Fleet.Events().Add(now, explain.SubjectUpstream, l.pinned, what, why)
-	l.agent.deps.Log.Info("state", "service", l.pinned, "what", what, "why", why)
+	l.explain(explain.SubjectUpstream, l.pinned, what, why)
+}
+
+func (l *loop) zoneEvent(what, why string) {
+	l.explain(explain.SubjectZone, l.agent.settings.Zone, what, why)
+}
+
+func (l *loop) explain(subject explain.Subject, name, what, why string) {
+	l.agent.deps.Fleet.Events().Add(time.Now(), subject, name, what, why)
+	l.agent.deps.Log.Info("state", string(subject), name, "what", what, "why", why)
 }
--- a/internal/agent/network_test.go
+++ b/internal/agent/network_test.go
@@ -43,7 +43,6 @@
 type testEntry struct {
 	addr       netip.AddrPort
 	candidates []netip.AddrPort
-	down       bool
 }
 
 func newMemoryNetwork(ring *keyring.Ring, service uint16) *memoryNetwork {
@@ -197,13 +196,7 @@
 // spray hands a caller's packet to any live entry, which routes it.
 func (n *memoryNetwork) spray(b []byte, from, to netip.AddrPort) {
 	n.mu.Lock()
-	var live []*testEntry
-	for _, e := range n.entries {
-		if !e.down {
-			live = append(live, e)
-		}
-	}
-	entry := live[n.rng.IntN(len(live))]
+	entry := n.entries[n.rng.IntN(len(n.entries))]
 	if n.split != nil {
 		entry = n.entries[n.split()]
 	}
@@ -240,7 +233,7 @@
 // answer passes an agent's datagram on to the caller.
 func (n *memoryNetwork) answer(e *testEntry, b []byte) {
 	h, verdict := wire.ParseHeader(n.ring, b)
-	if verdict != wire.HeaderValid || h.Kind != wire.KindToCaller || e.down {
+	if verdict != wire.HeaderValid || h.Kind != wire.KindToCaller {
 		return
 	}
 	n.deliver(b[wire.HeaderSize:], h.Destination, h.Caller)
--- a/internal/agent/socket.go
+++ b/internal/agent/socket.go
@@ -182,7 +182,8 @@
 		s.metrics.drop(dropMalformed)
 		return false
 	}
-	view := huntView{refusing: v.refusing, own: s.load()}
+	view := huntView{own: s.load()}
+	view.refusing = v.refusing || view.own.full()
 	view.second, view.secondOK = s.peer(h.Second, now)
 	view.secondOK = view.secondOK && v.takes[h.Second]
 	to := s.hunter.decide(now, k, h, view)
--- /dev/null
+++ b/internal/agent/stream_test.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"crocusnotch/internal/request"
+)
+
+// TestOwnerIsToldBeforeTheRunEnds reads the informational answer while the
+// upstream still works.
+func TestOwnerIsToldBeforeTheRunEnds(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		u.hold = make(chan struct{})
+		c := b.mustDial()
+		owners := make(chan string, 1)
+		ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+			Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+				owners <- h.Get(request.HeaderOwner)
+				return nil
+			},
+		})
+		done := make(chan error, 1)
+		go func() {
+			resp, err := c.do(ctx, "POST", "/ring", strings.NewReader("x"), "Idempotency-Key", "k")
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			done <- err
+		}()
+		b.is.Equal(<-owners, request.Ref{Addr: addr(1, 2), Incarnation: 1}.String())
+		b.is.Equal(len(done), 0) // it still runs
+		close(u.hold)
+		b.is.NoErr(<-done)
+	}, u)
+}
+
+// TestRetryThroughAnotherAgentFindsTheAnswer sends a retry over a flow of the
+// other agent, with and without the owner.
+func TestRetryThroughAnotherAgentFindsTheAnswer(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		b.route(b.agents[0])
+		_, text, h, err := b.mustDial().get("POST", "/ring", strings.NewReader("bell"), "Idempotency-Key", "k")
+		b.is.NoErr(err)
+		b.is.Equal(text, "ran bell")
+		b.route(b.agents[1])
+		c := b.mustDial()
+		cases := []struct{ owner, text, outcome string }{
+			{"", "", "unknown"},
+			{h.Get(request.HeaderOwner), "ran bell", "ran"},
+		}
+		for _, tt := range cases {
+			_, text, got, err := c.get("POST", "/ring", strings.NewReader("bell"),
+				"Idempotency-Key", "k", request.HeaderAttempt, "2", request.HeaderOwner, tt.owner)
+			b.is.NoErr(err)
+			b.is.Equal(text, tt.text)
+			b.is.Equal(got.Get(request.HeaderOutcome), tt.outcome)
+			b.is.Equal(u.count("k"), 1)
+		}
+		b.agents[0].kill() // the owner is gone for good
+		_, _, got, err := b.mustDial().get("POST", "/ring", strings.NewReader("bell"),
+			"Idempotency-Key", "lost", request.HeaderAttempt, "2", request.HeaderOwner, h.Get(request.HeaderOwner))
+		b.is.NoErr(err)
+		b.is.Equal(got.Get(request.HeaderOutcome), "unknown")
+		b.is.Equal(got.Get(request.HeaderReason), string(request.ReasonOwnerLost))
+		b.is.Equal(u.count("lost"), 0)
+	}, u, u)
+}
+
+// TestLongStreamGoesBothWays sends lines and reads each echo before the next,
+// here and through a relay.
+func TestLongStreamGoesBothWays(t *testing.T) {
+	upstream := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
+		_ = rc.Flush()
+		lines := bufio.NewScanner(r.Body)
+		for lines.Scan() {
+			_, _ = io.WriteString(w, "echo "+lines.Text()+"\n")
+			_ = rc.Flush()
+		}
+	})
+	inBubble(t, func(b *bench) {
+		c := b.mustDial()
+		b.talk(c)
+		b.withdraw()
+		b.talk(c) // relayed to the peer
+	}, upstream, upstream)
+}
+
+func (b *bench) talk(c *caller) {
+	r, w := io.Pipe()
+	resp, err := c.do(context.Background(), "POST", "/watch", r)
+	b.is.NoErr(err)
+	answers := bufio.NewReader(resp.Body)
+	for _, line := range []string{"fog", "berth", "depart"} {
+		_, err := io.WriteString(w, line+"\n")
+		b.is.NoErr(err)
+		got, err := answers.ReadString('\n')
+		b.is.NoErr(err)
+		b.is.Equal(got, "echo "+line+"\n")
+		time.Sleep(time.Minute)
+	}
+	b.is.NoErr(w.Close())
+	_, err = answers.ReadByte()
+	b.is.Equal(err, io.EOF)
+}
+
+// TestBrokenRequestBodyIsReset calls the handler itself: an HTTP/3 client whose
+// body breaks off does not look at the answer.
+func TestBrokenRequestBodyIsReset(t *testing.T) {
+	u := newRecorder()
+	inBubble(t, func(b *bench) {
+		for _, path := range []string{"/", "/ring"} {
+			body := io.MultiReader(strings.NewReader("half"), iotest.ErrReader(io.ErrUnexpectedEOF))
+			r := httptest.NewRequest("POST", path, body)
+			r.Header.Set(request.HeaderIdempotencyKey, "k")
+			func() {
+				defer func() { b.is.Equal(recover(), http.ErrAbortHandler) }()
+				b.agents[0].handler.callers().ServeHTTP(httptest.NewRecorder(), r)
+			}()
+		}
+		b.is.Equal(u.count("k"), 0)
+	}, u)
+}
