Bound what ended requests leave behind, measure the costs

Cause: deadlines of ended requests stayed in the heap until their time, up to an hour by configuration, and each attempt at one key left an item in the list of retentions. Both are compacted now when stale items outweigh live ones. An end is told from a later one by a number, no longer by its time, since several attempts may end in one instant.

--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -142,3 +142,17 @@
 	}
 	is.Equal(retries, budgetStart) // none succeeds, so no token is earned
 }
+
+func TestRepeatedAttemptsKeepMemoryBounded(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	e.Drain(origin)
+	for i := 1; i <= 10_000; i++ {
+		r := once(ID(i), "k")
+		r.Attempt = i
+		r.Deadline = origin.Add(time.Hour)
+		is.Equal(lastReply(e.Arrive(origin, r)).Outcome, OutcomeNotRun)
+	}
+	is.True(len(e.ledger.ended) <= 3+2*minCompact)
+	is.True(len(e.jobs.due) <= 3+2*minCompact)
+}
--- /dev/null
+++ b/internal/request/cost_test.go
@@ -0,0 +1,98 @@
+package request
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"crocusnotch/internal/admission"
+	"crocusnotch/internal/config"
+)
+
+var idempotentClass = config.Class{Name: "status", DeadlineMillis: 1000}
+
+// benchRequests runs one request through an engine in a loop.
+func benchRequests(b *testing.B, e *Engine, next func(i int) Request) {
+	b.ReportAllocs()
+	now := origin
+	i := 0
+	for b.Loop() {
+		i++
+		now = now.Add(time.Millisecond)
+		r := next(i)
+		r.ID = ID(i)
+		e.Arrive(now, r)
+		e.UpstreamDone(now, r.ID, Result{Outcome: OutcomeRan, Status: 200})
+	}
+}
+
+func BenchmarkIdempotent(b *testing.B) {
+	benchRequests(b, newEngine(1, 9), func(int) Request { return Request{Class: idempotentClass} })
+}
+
+func BenchmarkAtMostOnce(b *testing.B) {
+	benchRequests(b, newEngine(1, 9), func(i int) Request {
+		return Request{Class: onceClass, Key: strconv.Itoa(i)}
+	})
+}
+
+func BenchmarkReplay(b *testing.B) {
+	e := newEngine(1, 9)
+	e.Arrive(origin, once(1, "k"))
+	e.UpstreamDone(origin, 1, Result{Outcome: OutcomeRan, Status: 200})
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Arrive(origin, once(2, "k"))
+	}
+}
+
+func BenchmarkResolve(b *testing.B) {
+	e := newEngine(1, 9)
+	e.Arrive(origin, once(1, "k"))
+	q := Query{Key: "k", Attempt: 2, Target: e.Self(), Asker: ref(2, 1)}
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Resolve(origin, q)
+	}
+}
+
+// manyPeers returns peers with a fresh report each.
+func manyPeers(n int) peers {
+	p := newPeers(rand.New(rand.NewPCG(1, 2)))
+	for i := range n {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		p.report(origin, PeerReport{
+			Peer: Ref{Addr: addr, Incarnation: 1, Clock: 1},
+			Load: admission.Load{Busy: i % 9, Limit: 9, Slots: 9},
+		})
+	}
+	return p
+}
+
+func BenchmarkRelayChoice(b *testing.B) {
+	for _, n := range []int{10, 100, 500, 2000} {
+		b.Run(fmt.Sprint("peers-", n), func(b *testing.B) {
+			p := manyPeers(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.least(origin, time.Second, 20*time.Millisecond, nil, nil)
+			}
+		})
+	}
+}
+
+func BenchmarkPeerReport(b *testing.B) {
+	for _, n := range []int{10, 2000} {
+		b.Run(fmt.Sprint("peers-", n), func(b *testing.B) {
+			p := manyPeers(n)
+			r := PeerReport{Peer: p.list[0].ref, Load: admission.Load{Busy: 1, Limit: 9, Slots: 9}}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.report(origin, r)
+			}
+		})
+	}
+}
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -33,13 +34,17 @@
 	retries int
 }
 
+// minCompact is the number of ended items that are not worth a compaction.
+const minCompact = 64
+
 // due is the deadline of one job.
 type due struct {
 	at time.Time
 	id ID
 }
 
-// dueHeap orders deadlines, the next first. Ended jobs stay until their time.
+// dueHeap orders deadlines, the next first. Those of ended jobs
+// stay for a while.
 type dueHeap []due
 
 func (h dueHeap) Len() int           { return len(h) }
@@ -67,9 +72,19 @@
 
 func (j *jobs) add(x *job) {
 	j.byID[x.ID] = x
-	if !x.Deadline.IsZero() {
-		heap.Push(&j.due, due{at: x.Deadline, id: x.ID})
+	if x.Deadline.IsZero() {
+		return
+	}
+	if len(j.due) > 2*len(j.byID)+minCompact {
+		j.compact()
 	}
+	heap.Push(&j.due, due{at: x.Deadline, id: x.ID})
+}
+
+// compact drops the deadlines of ended jobs.
+func (j *jobs) compact() {
+	j.due = slices.DeleteFunc(j.due, func(d due) bool { return j.byID[d.id] == nil })
+	heap.Init(&j.due)
 }
 
 // overdue removes and returns the next job whose deadline has passed.
--- a/internal/request/ledger.go
+++ b/internal/request/ledger.go
@@ -1,6 +1,9 @@
 package request
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// MaxKeyBytes is the longest accepted Idempotency-Key.
@@ -42,7 +45,7 @@
 	reason  Reason
 	answer  *Answer
 	moved   Ref
-	expires time.Time // zero while active
+	ends    uint64 // number of the last end, 0 while active
 	bytes   int
 }
 
@@ -54,13 +57,15 @@
 	entries   map[string]*entry
 	bytes     int
 	ended     []expiry // by the time of ending
+	ends      uint64   // ends so far
 	head      int      // first of ended that is still in use
 }
 
-// expiry is one possible end of an entry. It is stale when the entry's own
-// time differs.
+// expiry is when one end of an entry is forgotten. It is stale when the entry
+// was opened again since.
 type expiry struct {
 	key string
+	end uint64
 	at  time.Time
 }
 
@@ -95,15 +100,28 @@
 func (l *ledger) reopen(e *entry, attempt int) {
 	e.state = stateActive
 	e.attempt = max(e.attempt, attempt)
-	e.expires = time.Time{}
+	e.ends = 0
 }
 
 // end sets the outcome of an entry and starts its retention.
 func (l *ledger) end(now time.Time, e *entry, state entryState, reason Reason) {
 	e.state = state
 	e.reason = reason
-	e.expires = now.Add(l.retention)
-	l.ended = append(l.ended, expiry{key: e.key, at: e.expires})
+	l.ends++
+	e.ends = l.ends
+	if len(l.ended)-l.head > 2*len(l.entries)+minCompact {
+		l.compact()
+	}
+	l.ended = append(l.ended, expiry{key: e.key, end: e.ends, at: now.Add(l.retention)})
+}
+
+// compact drops the stale ends, which repeated attempts at a key leave behind.
+func (l *ledger) compact() {
+	l.ended = slices.DeleteFunc(l.ended[l.head:], func(x expiry) bool {
+		e := l.entries[x.key]
+		return e == nil || e.ends != x.end
+	})
+	l.head = 0
 }
 
 // keep stores the copy of an answer if the bytes allow it.
@@ -126,7 +144,7 @@
 		x := l.ended[l.head]
 		l.ended[l.head] = expiry{}
 		l.head++
-		if e := l.entries[x.key]; e != nil && e.expires.Equal(x.at) {
+		if e := l.entries[x.key]; e != nil && e.ends == x.end {
 			l.bytes -= e.bytes
 			delete(l.entries, x.key)
 		}
