Verify the death of a member that was held suspect

Entries that had missed a refutation held the old suspicion until the bound on deaths ended, then declared dead what had long refuted; a death counts whatever the version. Change: a death of an older version than the known one is verified and not believed; a suspect that was held longer than usual is probed before its death; a repair that found as many differing buckets as it may list is followed by the next after one second. Ruled out: more rounds of spreading, which cost bytes in every healed cut.

--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -180,3 +180,33 @@
 	t.Logf("%d of %d were declared dead", killed, len(s.nodes))
 	is.True(float64(killed) <= 2*massDeathRate*(2*time.Minute).Seconds()) // both sides of the cut
 }
+
+func TestDeathOfAnOlderVersionIsVerified(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	c.Learn(testStart, []Record{testRecord(2, RoleAgent, StateReady, 1, 2)}, nil)
+	c.Tick(testStart)
+	c.Drain()
+	older := testRecord(2, RoleAgent, StateDead, 1, 1)
+	c.Receive(testStart, &Message{Kind: KindPush, From: testAddr(3), Control: testAddr(3), Verdicts: appendVerdict(nil, &older)})
+	is.Equal(c.table.get(older.Addr).State, StateReady)
+	c.Tick(testStart.Add(time.Millisecond))
+	is.Equal(kinds(c.Drain(), older.Control), []Kind{KindPing})
+}
+
+func TestHeldSuspectIsProbedBeforeItsDeath(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	c.timing.Pause = time.Hour
+	suspect := testRecord(2, RoleAgent, StateSuspect, 1, 1)
+	c.Learn(testStart, []Record{suspect}, nil)
+	c.Tick(testStart)
+	c.Drain()
+	late := testStart.Add(10 * c.timing.Suspicion)
+	c.checkSuspects(late)
+	is.Equal(c.table.get(suspect.Addr).State, StateSuspect)
+	is.Equal(kinds(c.Drain(), suspect.Control), []Kind{KindPing})
+	c.expireProbes(late.Add(c.timing.ProbeWait))
+	c.expireProbes(late.Add(2 * c.timing.ProbeWait))
+	is.Equal(c.table.get(suspect.Addr).State, StateDead)
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -24,6 +24,10 @@
 		c.insert(now, r, 0, cause)
 		return nil
 	}
+	if r.State == StateDead && r.Incarnation == known.Incarnation && known.Version > r.Version && !known.State.Final() {
+		c.doubt(r) // it refuted that suspicion, but not everybody has heard
+		return nil
+	}
 	if r.Supersedes(&known.Record) {
 		c.insert(now, r, known.State, cause)
 		return nil
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -210,6 +210,10 @@
 	}
 	c.recordProbe(false)
 	m := c.table.get(p.target)
+	if m != nil && m.State == StateSuspect && now.Before(m.judged) {
+		c.declareDead(now, m)
+		return
+	}
 	if m == nil || m.State >= StateSuspect {
 		return
 	}
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -19,12 +19,14 @@
 	bucketsPerDigest  = 4 // buckets listed for one digest
 	answersPerListing = 4 // datagrams for one listing
 	objectRepairPause = time.Second
+	busyRepair        = time.Second
 )
 
 // repairState is when tables are compared next.
 type repairState struct {
 	next       time.Time
 	nextObject time.Time
+	listed     int // buckets listed in answer to the last digest
 }
 
 // tickRepair sends the digest of the member table to one random entry.
@@ -33,6 +35,7 @@
 		return
 	}
 	c.repair.next = now.Add(c.timing.Digest)
+	c.repair.listed = 0
 	for _, peer := range c.randomEntries(1, netip.AddrPort{}) {
 		c.sendDigest(peer.Control, TableMembers)
 	}
@@ -140,6 +143,7 @@
 	if c.self.Role != RoleEntry || len(m.Items)%itemSize != 0 {
 		return
 	}
+	c.hastenRepair(now, m.Table)
 	theirs := map[uint64]uint32{}
 	for b := m.Items; len(b) > 0; b = b[itemSize:] {
 		theirs[binary.BigEndian.Uint64(b)] = binary.BigEndian.Uint32(b[hashSize*2:])
@@ -160,6 +164,25 @@
 	}
 }
 
+// hastenRepair brings the next repair forward when the last one found as many
+// buckets that differ as are listed at once.
+func (c *Core) hastenRepair(now time.Time, t TableID) {
+	if t != TableMembers {
+		return
+	}
+	c.repair.listed++
+	if c.repair.listed == bucketsPerDigest {
+		c.repair.next = earlier(c.repair.next, now.Add(busyRepair))
+	}
+}
+
+func earlier(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return x
+	}
+	return y
+}
+
 func (c *Core) sendWant(to netip.AddrPort, t TableID, b uint8, keys []uint64) {
 	packed := []byte{}
 	for _, key := range keys {
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -5,6 +5,7 @@
 // Bounds of suspicion.
 const (
 	verdictWindow  = 32          // last probe results that tell whether this process itself is cut off
+	heldSuspicions = 2           // times the usual length
 	deathsPerCheck = 10          // dead declarations for each check of the suspects
 	massLeast      = 2           // suspects that are never many
 	massShare      = 8           // one in so many members suspect at once is many
@@ -65,12 +66,30 @@
 		if now.Sub(m.changedAt) < c.timing.Suspicion {
 			continue
 		}
-		dead := m.Record
-		dead.State = StateDead
-		c.mergeRecord(now, &dead, CauseSuspicion)
+		c.endSuspicion(now, m)
 		limit--
 		if limit == 0 {
 			return
 		}
 	}
 }
+
+// endSuspicion declares a suspect dead. One that was held longer than usual may
+// have refuted meanwhile without this process having heard, so it is probed
+// first.
+func (c *Core) endSuspicion(now time.Time, m *member) {
+	if now.Sub(m.changedAt) < heldSuspicions*c.timing.Suspicion {
+		c.declareDead(now, m)
+		return
+	}
+	if !now.Before(m.judged) {
+		m.judged = now.Add(heldSuspicions * c.timing.Suspicion)
+		c.ping(now, m)
+	}
+}
+
+func (c *Core) declareDead(now time.Time, m *member) {
+	dead := m.Record
+	dead.State = StateDead
+	c.insert(now, &dead, m.State, CauseSuspicion)
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -15,6 +15,7 @@
 	Record
 	seq       uint64    // local number of the last change
 	changedAt time.Time // local time of the last change
+	judged    time.Time // no new last probe of a held suspect until then
 	position  int       // in its list, -1 when not listed
 }
 
@@ -83,6 +84,7 @@
 	m.Record = *r
 	m.seq = *t.seq
 	m.changedAt = now
+	m.judged = time.Time{}
 	t.index(m)
 	return m
 }
--- a/internal/membership/verdict.go
+++ b/internal/membership/verdict.go
@@ -63,7 +63,8 @@
 }
 
 // mergeVerdict applies a verdict to the known record. A suspicion of another
-// version says nothing about the record that is known here.
+// version says nothing about the record that is known here; a death of an older
+// one is verified.
 func (c *Core) mergeVerdict(now time.Time, v *Record) {
 	known := c.table.get(v.Addr)
 	if known == nil || known.Incarnation != v.Incarnation {
@@ -73,6 +74,6 @@
 		return
 	}
 	judged := known.Record
-	judged.State = v.State
+	judged.State, judged.Version = v.State, v.Version
 	c.mergeRecord(now, &judged, CauseReported)
 }
