Align the columns of crocusctl status

Cause: rows of entries end before the columns of agents, so that the table fell into blocks of different widths. Conclusion: every row has all columns.

--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -10,7 +11,11 @@
 	"crocusnotch/internal/explain"
 )
 
-const columnGap = 2
+const (
+	columnGap     = 2
+	statusColumns = 13 // of WriteStatus
+	agentColumns  = 7  // those of them that only agents fill
+)
 
 func table(w io.Writer) *tabwriter.Writer {
 	return tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
@@ -61,15 +66,17 @@
 
 func writeReply(w io.Writer, r Reply) {
 	if r.Err != nil {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\tno answer (%s)\n", r.Member.Process, r.Member.Role, r.Member.Zone, r.Member.State)
+		m := r.Member
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\tno answer (%s)%s\n", m.Process, m.Role, m.Zone, m.State, strings.Repeat("\t", statusColumns-4))
 		return
 	}
 	s := r.Status
 	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d", s.Process, s.Role, s.Zone, s.State, s.ConfigRevision, s.SigningKey)
 	if a := s.Agent; a != nil {
-		_, _ = fmt.Fprintf(w, "\t%s\t%d\t%d\t%d\t%d\t%d\t%d", a.Service, a.Busy, a.Limit, a.Slots, a.Queued, a.Flows, a.LongStreams)
+		_, _ = fmt.Fprintf(w, "\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Service, a.Busy, a.Limit, a.Slots, a.Queued, a.Flows, a.LongStreams)
+	} else {
+		_, _ = fmt.Fprintln(w, strings.Repeat("\t", agentColumns))
 	}
-	_, _ = fmt.Fprintln(w)
 	for _, p := range s.ConfigProblems {
 		_, _ = fmt.Fprintf(w, "  refused: %s\n", p)
 	}
