Replace rosters whose entries do not answer

Cause: an entry asks listed entries that it does not know before it writes its zone's roster, all within ten seconds. Where instances are gone, a dial is not refused but waits for its three seconds; four of them used up the time, the write failed, and the roster stayed: entries did not meet and no process could join without seeds. Found by: the network of the tests, which now leaves such calls unanswered instead of refusing them; the new test failed before. Change: reading and writing the roster have a time limit each. Conclusion: both cases have tests.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -147,7 +147,7 @@
 		b, err := encodePage(a.page)
 		return wire.SnapshotResult{Page: b, Next: a.next}, err
 	case <-n.stopped:
-		return wire.SnapshotResult{}, errNoPeer
+		return wire.SnapshotResult{}, errStopped
 	case <-ctx.Done():
 		return wire.SnapshotResult{}, ctx.Err()
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -23,7 +23,7 @@
 	storeCallTimeout = 5 * time.Second
 )
 
-var errNoPeer = errors.New("fleet: no peer answered")
+var errStopped = errors.New("fleet: the node has stopped")
 
 // joinLoop looks for peers at the start, as long as no keys are known, without
 // which nothing can be sent, and whenever no peer was heard for a while: known
@@ -154,18 +154,12 @@
 
 // readRosters returns the control addresses in all rosters.
 func (n *Node) readRosters(ctx context.Context) []netip.AddrPort {
-	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-	defer cancel()
-	list, err := n.opts.Store.List(ctx, config.KindRoster)
-	n.noteStore("roster", err)
+	list, err := n.listRosters(ctx)
 	if err != nil {
 		return nil
 	}
-	var out []netip.AddrPort
-	for i := range list.Objects {
-		out = append(out, decodeRoster(&list.Objects[i])...)
-	}
-	return out
+	_, listed := findRoster(list.Objects, n.opts.Zone)
+	return listed
 }
 
 // readConfig learns the configuration from the store itself, for the first
--- a/internal/fleet/memnet_test.go
+++ b/internal/fleet/memnet_test.go
@@ -118,7 +118,8 @@
 		reach := m.reaches(from, to) && m.reaches(to, from)
 		m.mu.Unlock()
 		if l == nil || !reach {
-			return errors.New("unreachable")
+			<-ctx.Done() // as when no packet is answered
+			return ctx.Err()
 		}
 		ours, theirs := net.Pipe()
 		select {
--- a/internal/fleet/memstore_test.go
+++ b/internal/fleet/memstore_test.go
@@ -27,9 +27,9 @@
 	return &memStore{objects: map[config.ID]config.Object{}, changed: make(chan struct{})}
 }
 
-func (s *memStore) enter() error {
+func (s *memStore) enter(ctx context.Context) error {
 	s.calls++
-	if s.down {
+	if s.down || ctx.Err() != nil {
 		return platform.ErrUnavailable
 	}
 	return nil
@@ -46,10 +46,10 @@
 	return out
 }
 
-func (s *memStore) List(_ context.Context, kinds ...string) (platform.Snapshot, error) {
+func (s *memStore) List(ctx context.Context, kinds ...string) (platform.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.enter(); err != nil {
+	if err := s.enter(ctx); err != nil {
 		return platform.Snapshot{}, err
 	}
 	return s.since(0, kinds), nil
@@ -82,18 +82,18 @@
 	}
 }
 
-func (s *memStore) Create(_ context.Context, id config.ID, value []byte) (config.Object, error) {
-	return s.write(id, 0, value)
+func (s *memStore) Create(ctx context.Context, id config.ID, value []byte) (config.Object, error) {
+	return s.write(ctx, id, 0, value)
 }
 
-func (s *memStore) Update(_ context.Context, id config.ID, expected uint64, value []byte) (config.Object, error) {
-	return s.write(id, expected, value)
+func (s *memStore) Update(ctx context.Context, id config.ID, expected uint64, value []byte) (config.Object, error) {
+	return s.write(ctx, id, expected, value)
 }
 
-func (s *memStore) write(id config.ID, expected uint64, value []byte) (config.Object, error) {
+func (s *memStore) write(ctx context.Context, id config.ID, expected uint64, value []byte) (config.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.enter(); err != nil {
+	if err := s.enter(ctx); err != nil {
 		return config.Object{}, err
 	}
 	current := s.objects[id]
@@ -130,7 +130,7 @@
 	down := s.down
 	s.down = false
 	s.mu.Unlock()
-	o, err := s.write(config.ID{Kind: kind, Name: name}, expected, value)
+	o, err := s.write(context.Background(), config.ID{Kind: kind, Name: name}, expected, value)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"crocusnotch/internal/config"
 	"crocusnotch/internal/membership"
 )
 
@@ -94,3 +95,41 @@
 		is.Equal(b.nodes["a1@pier"].Self().Incarnation, before) // was never declared dead
 	})
 }
+
+// Each of the two parts has entries of one zone only, so no roster names both.
+func TestIslandsOfDifferentZonesMeet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		defer b.stop()
+		end := b.cutWhere(func(x, y netip.AddrPort) bool { return b.inZone("quay", x) != b.inZone("quay", y) })
+		startAll(b, "e1@pier", "e3@pier", "e2@quay", "e4@quay")
+		time.Sleep(time.Minute)
+		end()
+		time.Sleep(recovery)
+		checkAgreement(is, b)
+	})
+}
+
+// The instances of the entries in the rosters are gone: nothing answers there.
+func TestRostersOfGoneEntriesAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		defer b.stop()
+		var gone []netip.AddrPort
+		for i := range 9 {
+			gone = append(gone, memberAddr("e"+itoa(100+i)))
+		}
+		for i, z := range testZones {
+			b.store.put(t, config.KindRoster, z.Name, config.Roster{Entries: gone[3*i : 3*i+3]})
+		}
+		startAll(b, "e1@pier", "e2@quay")
+		time.Sleep(2 * recovery)
+		checkAgreement(is, b)
+		for i, name := range []string{"pier", "quay"} {
+			o := b.store.objects[config.ID{Kind: config.KindRoster, Name: name}]
+			is.Equal(decodeRoster(&o), []netip.AddrPort{memberAddr("e" + itoa(1+i))})
+		}
+	})
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -140,10 +140,7 @@
 	if n.desiredRoster()[0] != n.opts.Self.Control {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
-	defer cancel()
-	list, err := n.opts.Store.List(ctx, config.KindRoster)
-	n.noteStore("roster", err)
+	list, err := n.listRosters(ctx)
 	if err != nil {
 		return
 	}
@@ -170,7 +167,17 @@
 	return own, listed
 }
 
+func (n *Node) listRosters(ctx context.Context) (platform.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	list, err := n.opts.Store.List(ctx, config.KindRoster)
+	n.noteStore("roster", err)
+	return list, err
+}
+
 func (n *Node) writeRoster(ctx context.Context, revision uint64, entries []netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	id := config.ID{Kind: config.KindRoster, Name: n.opts.Zone}
 	value, err := config.Encode(config.Roster{Entries: entries})
 	if err != nil {
