Give both daemons one frame

Cause: crocus-entry and crocus-agent each had their own command line, exit codes, signals and metrics server; they had drifted (log to standard output or to standard error, one or many signals). Conclusion: no change of behaviour besides the log's stream.

--- a/cmd/crocus-entry/main.go
+++ b/cmd/crocus-entry/main.go
@@ -3,90 +3,36 @@
 package main
 
 import (
-	"context"
-	"fmt"
-	"net"
+	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/go-faster/errors"
-	"github.com/integrii/flaggy"
-	"golang.org/x/sync/errgroup"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/daemon"
 	"crocusnotch/internal/entry"
-	"crocusnotch/internal/telemetry"
 	"crocusnotch/internal/wire"
 )
 
 var version = "devel"
 
-// Exit codes.
-const (
-	exitFailed  = 1
-	exitInvalid = 2
-)
-
 func main() {
-	path, check := parse()
 	var s config.Entry
-	if err := config.ReadFile(path, &s); err != nil {
-		fail(err, exitInvalid)
-	}
-	material, err := wire.LoadMutualTLS(s.TLS)
-	if err != nil {
-		fail(err, exitInvalid)
-	}
-	if check {
-		return
-	}
-	if err := run(s, material); err != nil {
-		fail(err, exitFailed)
-	}
-}
-
-func parse() (path string, check bool) {
-	path = "crocus-entry.json"
-	p := flaggy.NewParser("crocus-entry")
-	p.Description = "takes packets from the fabric and hands them to agents"
-	p.Version = version
-	p.String(&path, "s", "settings", "JSON file with the addresses, zone, store and TLS files")
-	p.Bool(&check, "", "check", "check the settings and exit")
-	if err := p.Parse(); err != nil {
-		fail(err, exitInvalid)
+	var material *wire.MutualTLS
+	p := daemon.Program{
+		Name:        "crocus-entry",
+		Description: "takes packets from the fabric and hands them to agents",
+		Version:     version,
+		Role:        "entry",
+		Settings:    &s,
+		Shared:      &s.Process,
+		Load: func() (err error) {
+			material, err = wire.LoadMutualTLS(s.TLS)
+			return err
+		},
+		New: func(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
+			return entry.New(s, entry.Deps{Log: log, Registry: r, TLS: material})
+		},
 	}
-	return path, check
-}
-
-func fail(err error, code int) {
-	fmt.Fprintln(os.Stderr, err)
-	os.Exit(code)
-}
-
-// run works until a signal stops the entry gracefully.
-func run(s config.Entry, material *wire.MutualTLS) error {
-	log := telemetry.NewLogger(os.Stdout, "entry", s.Data.String())
-	registry := telemetry.NewRegistry()
-	listener, err := net.Listen("tcp", s.Metrics.String())
-	if err != nil {
-		return errors.Wrap(err, "open metrics socket")
-	}
-	e, err := entry.New(s, entry.Deps{Log: log, Registry: registry, TLS: material})
-	if err != nil {
-		return err
-	}
-	stopped, forget := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer forget()
-	context.AfterFunc(stopped, e.Stop)
-
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return telemetry.Serve(ctx, listener, registry, e.Health) })
-	g.Go(func() error {
-		defer cancel()
-		return e.Run(ctx)
-	})
-	return g.Wait()
+	os.Exit(p.Main())
 }
--- a/cmd/crocus-entry/main_test.go
+++ b/cmd/crocus-entry/main_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"crocusnotch/internal/daemon"
 )
 
 const mainEnv = "CROCUS_TEST_MAIN"
@@ -52,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			out, code := runMain(t, c.settings)
-			is.Equal(code, exitInvalid)
+			is.Equal(code, daemon.ExitInvalid)
 			lines := strings.Split(strings.TrimSpace(out), "\n")
 			is.Equal(len(lines), len(c.want)) // lines of output
 			for i, want := range c.want {
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,130 @@
+// Package daemon is the frame of the fleet's long-running programs: command
+// line, settings, log, metrics, signals and exit codes.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	ExitFailed  = 1
+	ExitInvalid = 2 // the command line or the settings are not valid
+)
+
+// Process is what a program runs.
+type Process interface {
+	// Run works until ctx ends or a graceful stop is done.
+	Run(ctx context.Context) error
+	// Stop starts a graceful stop. It may be called again.
+	Stop()
+	// Health reports whether the process can do its work, and why not.
+	Health() (ok bool, reason string)
+}
+
+// Program describes one program.
+type Program struct {
+	Name        string
+	Description string
+	Version     string
+	Role        string          // in the log
+	Settings    any             // pointer to the settings, filled from the file
+	Shared      *config.Process // the part of Settings that all programs have
+	// Load reads the files that the settings name. It opens no socket.
+	Load func() error
+	// New opens the process's sockets.
+	New func(log *slog.Logger, r *prometheus.Registry) (Process, error)
+}
+
+// Main runs the program with the process's arguments and returns its exit
+// code.
+func (p *Program) Main() int {
+	path := p.Name + ".json"
+	check := false
+	if err := p.parse(&path, &check); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitInvalid
+	}
+	if err := p.load(path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitInvalid
+	}
+	if check {
+		return 0
+	}
+	log := telemetry.NewLogger(os.Stdout, p.Role, p.Shared.Data.String())
+	if err := p.serve(log); err != nil {
+		log.Error("stopped", "error", err.Error())
+		return ExitFailed
+	}
+	return 0
+}
+
+func (p *Program) parse(path *string, check *bool) error {
+	f := flaggy.NewParser(p.Name)
+	f.Description = p.Description
+	f.Version = p.Version
+	f.String(path, "s", "settings", "JSON file with the settings")
+	f.Bool(check, "", "check", "check the settings and exit")
+	return f.Parse()
+}
+
+func (p *Program) load(path string) error {
+	if err := config.ReadFile(path, p.Settings); err != nil {
+		return err
+	}
+	return p.Load()
+}
+
+func (p *Program) serve(log *slog.Logger) error {
+	registry := telemetry.NewRegistry()
+	metrics, err := net.Listen("tcp", p.Shared.Metrics.String())
+	if err != nil {
+		return errors.Wrap(err, "open metrics socket")
+	}
+	defer func() { _ = metrics.Close() }()
+	process, err := p.New(log, registry)
+	if err != nil {
+		return err
+	}
+	defer stopOnSignal(process)()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return telemetry.Serve(ctx, metrics, registry, process.Health) })
+	g.Go(func() error {
+		defer cancel()
+		return process.Run(ctx)
+	})
+	return g.Wait()
+}
+
+// stopOnSignal starts a graceful stop at each signal; a second one does not
+// cut it short. The returned function restores the signals.
+func stopOnSignal(p Process) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for range signals {
+			p.Stop()
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -64,8 +64,8 @@
 	wg.Go(func() { _ = p.Run(ctx) })
 	b.await("all flows are open", func() bool { return p.Open() == flows })
 	kinds := []caller.Kind{
-		{Path: "/status", Idempotent: true, Size: 2000, Work: 1, Timeout: 10 * time.Second},
-		{Path: "/once/departure", Size: 200, Work: 1, Timeout: 10 * time.Second},
+		{Path: "/status", Idempotent: true, Size: 2000, Work: 1, Timeout: 4 * time.Second},
+		{Path: "/once/departure", Size: 200, Work: 1, Timeout: 4 * time.Second},
 	}
 	for i := range senders {
 		wg.Go(func() {
