--- a/internal/request/arrive.go
+++ b/internal/request/arrive.go
@@ -24,7 +24,7 @@
 // arriveOnce takes a non-idempotent request: the ledger decides first.
 func (e *Engine) arriveOnce(now time.Time, j *job) {
 	if j.Key == "" || len(j.Key) > MaxKeyBytes {
-		e.reject(now, j, OutcomeNotRun, ReasonKeyMissing)
+		e.reject(j, OutcomeNotRun, ReasonKeyMissing)
 		return
 	}
 	if j.Target != nil && !e.isTarget(now, j) {
@@ -46,11 +46,11 @@
 // otherwise, so that the answer is unknown.
 func (e *Engine) isTarget(now time.Time, j *job) bool {
 	if !j.Target.Same(e.self) {
-		e.reject(now, j, OutcomeUnknown, ReasonOwnerLost)
+		e.reject(j, OutcomeUnknown, ReasonOwnerLost)
 		return false
 	}
 	if e.ledger.find(j.Key) == nil && !e.vouches(now, j.Target.Clock) {
-		e.reject(now, j, OutcomeUnknown, ReasonKeyExpired)
+		e.reject(j, OutcomeUnknown, ReasonKeyExpired)
 		return false
 	}
 	return true
@@ -64,13 +64,13 @@
 		return
 	}
 	if !e.ledger.hasReserve() {
-		e.reject(now, j, OutcomeUnknown, ReasonLedgerFull)
+		e.reject(j, OutcomeUnknown, ReasonLedgerFull)
 		return
 	}
 	entry := e.ledger.add(j.Key, j.Attempt, j.Target == nil)
 	e.ledger.end(now, entry, stateTombstoned, ReasonLedgerFull)
 	e.taken(j)
-	e.reject(now, j, OutcomeNotRun, ReasonLedgerFull)
+	e.reject(j, OutcomeNotRun, ReasonLedgerFull)
 }
 
 // arriveKnown takes a key that the ledger has.
@@ -78,11 +78,11 @@
 	later := j.Attempt > known.attempt
 	switch known.state {
 	case stateActive:
-		e.reject(now, j, OutcomeUnknown, ReasonDuplicate)
+		e.reject(j, OutcomeUnknown, ReasonDuplicate)
 	case stateRan:
 		e.do(ReplayAnswer{ID: j.ID, Key: j.Key, Answer: known.answer})
 	case stateUnknown:
-		e.reject(now, j, OutcomeUnknown, known.reason)
+		e.reject(j, OutcomeUnknown, known.reason)
 	case stateTombstoned:
 		e.arriveTombstoned(now, j, known, later)
 	case stateMoved:
@@ -93,9 +93,9 @@
 func (e *Engine) arriveTombstoned(now time.Time, j *job, known *entry, later bool) {
 	switch {
 	case !later && (known.claim || j.Target != nil):
-		e.reject(now, j, OutcomeNotRun, ReasonTombstoned)
+		e.reject(j, OutcomeNotRun, ReasonTombstoned)
 	case !later:
-		e.reject(now, j, OutcomeUnknown, ReasonTombstoned)
+		e.reject(j, OutcomeUnknown, ReasonTombstoned)
 	case j.Target != nil || known.claim:
 		e.ledger.reopen(known, j.Attempt)
 		e.open(j, known)
@@ -110,11 +110,11 @@
 	case j.Target != nil && (later || known.granted):
 		// No copy of this relay ran or starts here; its sender decides what
 		// follows.
-		e.reject(now, j, OutcomeNotRun, ReasonTombstoned)
+		e.reject(j, OutcomeNotRun, ReasonTombstoned)
 	case j.Target == nil && later:
 		e.arriveRetry(now, j, known)
 	default:
-		e.reject(now, j, OutcomeUnknown, ReasonTombstoned)
+		e.reject(j, OutcomeUnknown, ReasonTombstoned)
 	}
 }
 
@@ -123,12 +123,12 @@
 func (e *Engine) arriveRetry(now time.Time, j *job, known *entry) {
 	owner, reason := e.ownerOf(j, known)
 	if reason != ReasonNone {
-		e.reject(now, j, OutcomeUnknown, reason)
+		e.reject(j, OutcomeUnknown, reason)
 		return
 	}
 	if known == nil {
 		if !e.ledger.hasRoom() {
-			e.reject(now, j, OutcomeUnknown, ReasonLedgerFull)
+			e.reject(j, OutcomeUnknown, ReasonLedgerFull)
 			return
 		}
 		known = e.ledger.add(j.Key, j.Attempt, false)
@@ -174,7 +174,7 @@
 }
 
 // reject answers a request that never became a job.
-func (e *Engine) reject(_ time.Time, j *job, outcome Outcome, reason Reason) {
+func (e *Engine) reject(j *job, outcome Outcome, reason Reason) {
 	e.do(Reply{ID: j.ID, Outcome: outcome, Reason: reason, RetryAfter: e.retryAfter(reason)})
 }
 
