--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -22,9 +22,10 @@
 	firstTestNet = 8
 )
 
-// testNet keeps concurrent test runs on one machine apart.
-func testNet() netip.Addr {
-	return netip.AddrFrom4([4]byte{127, 24, byte(firstTestNet + testNetSize*(os.Getpid()%testNets)), 0})
+// testNet keeps concurrent tests apart, of this process by the second octet
+// and of others on the machine by the third.
+func testNet(octet byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, octet, byte(firstTestNet + testNetSize*(os.Getpid()%testNets)), 0})
 }
 
 func testScenario() *Scenario {
@@ -45,6 +46,7 @@
 // The whole path: callers, fabric, entries, agents and upstreams, while an
 // entry is replaced.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := testScenario()
 	s.Steps = []Step{{AtSeconds: 0.5, Do: ActionReplaceEntry}}
@@ -52,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	r, err := Run(ctx, s, Options{
-		Net: testNet(), Scale: 1, Log: slog.New(slog.DiscardHandler), Progress: io.Discard,
+		Net: testNet(24), Scale: 1, Log: slog.New(slog.DiscardHandler), Progress: io.Discard,
 	})
 	is.NoErr(err)
 	is.Equal(r.FlowsOpen, 10)
@@ -71,6 +73,36 @@
 	is.NoErr(r.Plot(filepath.Join(dir, "plot.svg")))
 }
 
+// No promise on requests and planned changes may break when instances drain,
+// are replaced and die, one after another.
+func TestPromisesUnderChanges(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := testScenario()
+	s.DurationSeconds = 5
+	s.Steps = []Step{
+		{AtSeconds: 0.2, Do: ActionDrainUpstream, Service: "bells", Index: 1},
+		{AtSeconds: 1, Do: ActionReplaceAgent, Service: "bells", Index: 0},
+		{AtSeconds: 2, Do: ActionStoreDown},
+		{AtSeconds: 2.5, Do: ActionKillEntry, Index: 0},
+		{AtSeconds: 3, Do: ActionKillAgent, Service: "bells", Index: 1},
+	}
+	is.NoErr(s.check())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	r, err := Run(ctx, s, Options{
+		Net: testNet(34), Scale: 1, Log: slog.New(slog.DiscardHandler), Progress: io.Discard,
+	})
+	is.NoErr(err)
+	is.True(r.Outcomes["ran"] > 0)
+	is.Equal(r.FlowsBroken[caller.CausePlanned], uint64(0))
+	is.Equal(r.StreamsBroken[caller.CausePlanned], uint64(0))
+	is.Equal(r.DoubledRuns, uint64(0))
+	is.Equal(r.FalseNotRun, uint64(0))
+	is.Equal(r.WrongService+r.Crossed+r.Truncated, uint64(0))
+	is.Equal(len(r.Faults), 0)
+}
+
 func TestProfilesAreValid(t *testing.T) {
 	for _, name := range []string{"mtkvari", "huron", "hold"} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -56,40 +57,55 @@
 	return n
 }
 
+// lastPacket is the last packet that a zone received, and the process that
+// received it.
+type lastPacket struct {
+	at time.Time
+	by netip.AddrPort
+}
+
 // watchZoneOut finds the time of the last packet that the zone's entries and
 // agents received after it was taken out.
 func (r *run) watchZoneOut(ctx context.Context, zone string, from time.Time) {
-	w := r.world
+	last := lastPacket{at: from}
 	packets := map[*agentInstance]float64{}
-	last := from
-	for time.Since(from) < zoneWatchPeriod {
-		w.mu.Lock()
-		agents, entries := w.agents, w.entries
-		w.mu.Unlock()
-		for _, a := range agents {
-			if a.zone != zone {
-				continue
-			}
-			n := metricSum(a.registry, packetsMetric, "direction", "in") +
-				metricSum(a.registry, dropsMetric, "reason", "zone-out")
-			if before, seen := packets[a]; seen && n > before {
-				last = time.Now()
-			}
-			packets[a] = n
-		}
-		for _, e := range entries {
-			if t := w.fabric.LastSent(e.addr.Fabric); e.zone == zone && t.After(last) {
-				last = t
-			}
-		}
+	move := r.zoneMoves.Load() // the zone may come back while it is watched
+	for time.Since(from) < zoneWatchPeriod && r.zoneMoves.Load() == move {
+		r.world.watchZone(zone, packets, &last)
 		if !sleepUntil(ctx, time.Now().Add(zoneWatchInterval)) {
 			break
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.zoneOut = max(r.zoneOut, last.Sub(from).Seconds())
 	r.zoneOutSeen = true
+	if seconds := last.at.Sub(from).Seconds(); seconds > r.zoneOut {
+		r.zoneOut, r.zoneOutBy = seconds, last.by.String()
+	}
+}
+
+// watchZone looks once at the zone's processes. Agents tell the number of
+// their packets, the fabric tells when it last sent one to an entry.
+func (w *World) watchZone(zone string, packets map[*agentInstance]float64, last *lastPacket) {
+	w.mu.Lock()
+	agents, entries := w.agents, w.entries
+	w.mu.Unlock()
+	for _, a := range agents {
+		if a.zone != zone {
+			continue
+		}
+		n := metricSum(a.registry, packetsMetric, "direction", "in") +
+			metricSum(a.registry, dropsMetric, "reason", "zone-out")
+		if before, seen := packets[a]; seen && n > before {
+			*last = lastPacket{time.Now(), a.settings.Data}
+		}
+		packets[a] = n
+	}
+	for _, e := range entries {
+		if t := w.fabric.LastSent(e.addr.Fabric); e.zone == zone && t.After(last.at) {
+			*last = lastPacket{t, e.settings.Data}
+		}
+	}
 }
 
 // zoneBackAt notes the totals when a zone comes back.
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -63,6 +63,7 @@
 	Baselines map[string]map[string]Simulated `json:"imbalance_baselines_simulated"`
 
 	ZoneOutSeconds *float64 `json:"zone_out_last_packet_seconds"`
+	ZoneOutBy      string   `json:"zone_out_last_packet_by,omitempty"` // data address
 	ZoneBackRatio  *float64 `json:"zone_back_success_ratio"`
 	InForceSeconds *float64 `json:"config_in_force_seconds"`
 
@@ -136,7 +137,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.zoneOutSeen {
-		out.ZoneOutSeconds = &r.zoneOut
+		out.ZoneOutSeconds, out.ZoneOutBy = &r.zoneOut, r.zoneOutBy
 	}
 	if r.zoneSeen {
 		out.ZoneBackRatio = &r.zoneRatio
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -43,12 +43,15 @@
 	wg       sync.WaitGroup  // requests
 	applied  int
 
+	zoneMoves atomic.Int64 // zone steps so far
+
 	mu          sync.Mutex // guards what follows
 	series      map[string]*series
 	order       []*series
 	marks       []mark
 	faults      []string
 	zoneOut     float64
+	zoneOutBy   string
 	zoneOutSeen bool
 	zoneBack    *caller.Totals
 	zoneBackEnd time.Time
--- a/internal/experiment/steps.go
+++ b/internal/experiment/steps.go
@@ -228,6 +228,7 @@
 // moveZone takes a zone out or in as operators do.
 func (r *run) moveZone(ctx context.Context, zone string, out bool) error {
 	w := r.world
+	r.zoneMoves.Add(1)
 	changes, err := ctl.PlanZone(ctx, w.operator, zone, out)
 	if err != nil {
 		return err
