Repeat a grant only while its holder would remember the run

Cause: an owner repeats a grant to the agent that has it, since the first answer may have been lost. A caller's retry at the owner renewed the owner's entry, so that it outlived the holder's. The holder had run the key, forgot it, asked again and was granted it again.

A grant keeps its own time now and is repeated for 1 s at most, the shortest retention that a configuration may state, so that differing configurations do not matter either. Also closed on reading: a late question about an earlier attempt was granted after a later attempt had been declared not run.

--- a/internal/request/arrive.go
+++ b/internal/request/arrive.go
@@ -107,7 +107,7 @@
 
 func (e *Engine) arriveMoved(now time.Time, j *job, known *entry, later bool) {
 	switch {
-	case j.Target != nil && (later || known.granted):
+	case j.Target != nil && (later || !known.granted.IsZero()):
 		// No copy of this relay ran or starts here; its sender decides what
 		// follows.
 		e.reject(j, OutcomeNotRun, ReasonTombstoned)
--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -156,3 +156,23 @@
 	is.True(len(e.ledger.ended) <= 3+2*minCompact)
 	is.True(len(e.jobs.due) <= 3+2*minCompact)
 }
+
+func TestGrantIsRepeatedOnlyWhileHolderRemembers(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	e.Drain(origin)
+	e.Arrive(origin, once(1, "k"))
+	holder := ref(2, 1)
+	q := Query{Key: "k", Attempt: 2, Target: e.Self(), Asker: holder}
+	is.Equal(e.Resolve(origin, q).State, ResolvedNotRun)
+
+	// A retry here asks the holder in vain, which renews the entry but not the
+	// grant: the holder may have run the key and forgotten it.
+	later := origin.Add(50 * time.Second)
+	r := retryWithOwner(2, "k", 3, e.Self())
+	r.Deadline = later.Add(time.Second)
+	is.Equal(e.Arrive(later, r)[1].(AskOwner).Owner.Addr, holder.Addr)
+	e.OwnerAnswered(later, 2, Resolution{State: ResolvedUnknown, Reason: ReasonOwnerLost})
+	q.Attempt = 4
+	is.Equal(e.Resolve(later.Add(50*time.Second), q).State, ResolvedMoved)
+}
--- a/internal/request/finish.go
+++ b/internal/request/finish.go
@@ -152,20 +152,28 @@
 	case outcome == OutcomeNotRun:
 		e.ledger.end(now, j.entry, stateTombstoned, reason)
 	case j.phase == phaseAsking:
-		e.moveTo(now, j.entry, j.pointer, j.entry.granted)
+		e.pointTo(now, j.entry, j.pointer)
 	case j.phase == phaseRelayed:
-		e.moveTo(now, j.entry, j.peer, false)
+		e.pointTo(now, j.entry, j.peer)
 	default:
 		e.ledger.end(now, j.entry, stateUnknown, reason)
 	}
 }
 
-func (e *Engine) moveTo(now time.Time, known *entry, to Ref, granted bool) {
+// pointTo ends an entry with the agent that may know. A grant keeps its time,
+// since its holder counts its own memory from there.
+func (e *Engine) pointTo(now time.Time, known *entry, to Ref) {
 	known.moved = to
-	known.granted = granted
 	e.ledger.end(now, known, stateMoved, ReasonNone)
 }
 
+// grant gives the claim away.
+func (e *Engine) grant(now time.Time, known *entry, to Ref) {
+	known.claim = false
+	known.granted = now
+	e.pointTo(now, known, to)
+}
+
 // replyEarly answers a request whose run goes on.
 func (e *Engine) replyEarly(j *job, reason Reason) {
 	j.replied = true
--- a/internal/request/ledger.go
+++ b/internal/request/ledger.go
@@ -39,9 +39,9 @@
 type entry struct {
 	key     string
 	state   entryState
-	attempt int  // the highest attempt seen
-	claim   bool // this agent alone decides whether the key may run
-	granted bool // stateMoved: the claim went to moved
+	attempt int       // the highest attempt seen
+	claim   bool      // this agent alone decides whether the key may run
+	granted time.Time // stateMoved: when the claim went to moved, zero when it did not
 	reason  Reason
 	answer  *Answer
 	moved   Ref
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -116,7 +116,7 @@
 	case r.Outcome == OutcomeNotRun:
 		e.ledger.end(now, j.entry, stateTombstoned, r.Reason)
 	default:
-		e.moveTo(now, j.entry, j.peer, false)
+		e.pointTo(now, j.entry, j.peer)
 	}
 }
 
--- a/internal/request/resolve.go
+++ b/internal/request/resolve.go
@@ -5,6 +5,10 @@
 // maxAsks bounds how many agents are asked in a row for one key.
 const maxAsks = 4
 
+// leastRetention is the shortest retention that a configuration may state. It
+// holds at every agent, whichever configuration that agent has.
+const leastRetention = time.Second
+
 // Resolve answers a peer agent's question after a key. A key that has not run
 // is tombstoned in the same step, and the claim to run it goes to the asker.
 func (e *Engine) Resolve(now time.Time, q Query) Resolution {
@@ -24,7 +28,7 @@
 	case stateTombstoned:
 		return e.resolveTombstoned(now, q, known)
 	case stateMoved:
-		return resolveMoved(q, known)
+		return resolveMoved(now, q, known)
 	}
 	return unknown(known.reason)
 }
@@ -43,28 +47,29 @@
 		return unknown(ReasonLedgerFull)
 	}
 	known := e.ledger.add(q.Key, q.Attempt, false)
-	e.moveTo(now, known, q.Asker, true)
+	e.grant(now, known, q.Asker)
 	return Resolution{State: ResolvedNotRun, Reason: ReasonRelayFailed}
 }
 
 // resolveTombstoned hands the claim on. An owner's tombstone covers earlier
 // attempts only; what it was told of a later one stands.
 func (e *Engine) resolveTombstoned(now time.Time, q Query, known *entry) Resolution {
-	relayed := q.Target.Clock > 0
-	if !relayed && (!known.claim || q.Attempt <= known.attempt) {
+	relayed := q.Target.Clock > 0 && !known.claim
+	earlier := known.attempt < q.Attempt || relayed && known.attempt == q.Attempt
+	if !earlier || !relayed && !known.claim {
 		return unknown(ReasonTombstoned)
 	}
 	known.attempt = max(known.attempt, q.Attempt)
-	known.claim = false
 	reason := known.reason
-	e.moveTo(now, known, q.Asker, true)
+	e.grant(now, known, q.Asker)
 	return Resolution{State: ResolvedNotRun, Reason: reason}
 }
 
 // resolveMoved points to the agent that may know, or repeats a grant whose
-// answer was lost.
-func resolveMoved(q Query, known *entry) Resolution {
-	if known.granted && known.moved.Same(q.Asker) {
+// answer was lost: only while the holder would still know that it ran.
+func resolveMoved(now time.Time, q Query, known *entry) Resolution {
+	granted := !known.granted.IsZero() && now.Sub(known.granted) < leastRetention
+	if granted && known.moved.Same(q.Asker) {
 		return Resolution{State: ResolvedNotRun, Reason: ReasonTombstoned}
 	}
 	moved := known.moved
@@ -123,7 +128,7 @@
 // claimed goes on with a request that this agent alone may run now. A relay
 // that came back leaves the claim with the agent that relayed it here.
 func (e *Engine) claimed(now time.Time, j *job) {
-	j.entry.granted = false
+	j.entry.granted = time.Time{}
 	if j.Target == nil {
 		j.entry.claim = true
 	}
