Show what an agent still has when it does not exit

Cause: in one run on a busy machine (load 20) an agent did not exit within 90 s of a graceful stop; the test said nothing of why. After: the failure prints the agent's gauges of flows, requests and queue. Conclusion: the check and its bound stay; the cause is open.

--- a/internal/processtest/bench_test.go
+++ b/internal/processtest/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -152,6 +153,7 @@
 func (b *bench) startEntry(i byte) *process {
 	s := config.Entry{Process: b.process(1, i), Fabric: b.addr(1, i, portFabric), FabricReturn: b.fabric.Return()}
 	p := b.start("crocus-entry", fmt.Sprintf("entry-%d", i), s, s.Metrics)
+	b.await(p.name+" is healthy", func() bool { return healthy(s.Metrics) })
 	b.fabric.Add(b.fabricEntry(i))
 	return p
 }
@@ -168,20 +170,20 @@
 			Key:  filepath.Join(b.dir, devcerts.FileCallersKey),
 		},
 	}
-	return b.start("crocus-agent", fmt.Sprintf("agent-%d", i), s, netip.AddrPort{})
+	return b.start("crocus-agent", fmt.Sprintf("agent-%d", i), s, s.Metrics)
 }
 
 // process is one operating-system process of the fleet.
 type process struct {
-	t    *testing.T
-	name string
-	cmd  *exec.Cmd
-	done chan error
-	log  string
+	t       *testing.T
+	metrics netip.AddrPort
+	name    string
+	cmd     *exec.Cmd
+	done    chan error
+	log     string
 }
 
-// start runs a program with the settings; with a metrics address it waits
-// until the health page says ok.
+// start runs a program with the settings.
 func (b *bench) start(program, name string, settings any, metrics netip.AddrPort) *process {
 	text, err := json.Marshal(settings)
 	b.must(err)
@@ -189,7 +191,7 @@
 	b.must(os.WriteFile(path, text, 0o600))
 	log, err := os.OpenFile(filepath.Join(b.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	b.must(err)
-	p := &process{t: b.t, name: name, done: make(chan error, 1), log: log.Name()}
+	p := &process{t: b.t, metrics: metrics, name: name, done: make(chan error, 1), log: log.Name()}
 	p.cmd = exec.Command(filepath.Join(b.bin, program), "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	b.must(p.cmd.Start())
@@ -205,9 +207,6 @@
 			b.t.Logf("log of %s:\n%s", name, text)
 		}
 	})
-	if metrics.IsValid() {
-		b.await(name+" is healthy", func() bool { return healthy(metrics) })
-	}
 	return p
 }
 
@@ -234,11 +233,31 @@
 	case err := <-p.done:
 		return err
 	case <-time.After(patience):
-		p.t.Fatal(p.name, "does not exit")
+		p.t.Fatalf("%s does not exit; its gauges:\n%s", p.name, gauges(p.metrics))
 		return nil
 	}
 }
 
+// gauges returns what an agent says of the work that it still has.
+func gauges(metrics netip.AddrPort) string {
+	res, err := http.Get("http://" + metrics.String() + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err.Error()
+	}
+	var out []string
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "crocus_agent_") && !strings.Contains(line, "_total") {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "")
+}
+
 // await polls until the condition holds.
 func (b *bench) await(what string, holds func() bool) {
 	b.t.Helper()
