Keep a peer's reference over a wrong report of death

Cause: peers were referred to by the record's incarnation, which rises when a member refutes its death, while the agent itself goes on with the incarnation of its start; its peers then forgot its load although it never restarted.

--- a/internal/agent/adopt.go
+++ b/internal/agent/adopt.go
@@ -131,11 +131,11 @@
 	for _, m := range l.members {
 		if l.isPeer(&m) {
 			peers = append(peers, m)
-			keep[request.Ref{Addr: m.Relay, Incarnation: m.Incarnation}] = true
+			keep[peerRef(&m)] = true
 		}
 	}
 	for _, p := range l.peers {
-		ref := request.Ref{Addr: p.Relay, Incarnation: p.Incarnation}
+		ref := peerRef(&p)
 		if !keep[ref] {
 			l.agent.driver.peerGone(ref)
 		}
@@ -144,6 +144,13 @@
 	l.agent.peers.retain(peers)
 }
 
+// peerRef returns the reference that the peer agent gives itself. It carries
+// the incarnation of the start, which stays when the record's rises after a
+// wrong report of death.
+func peerRef(m *membership.Record) request.Ref {
+	return request.Ref{Addr: m.Relay, Incarnation: m.Boot}
+}
+
 // isPeer reports whether a member serves this agent's service. Work stays in
 // the region.
 func (l *loop) isPeer(m *membership.Record) bool {
