--- a/internal/request/claim_test.go
+++ b/internal/request/claim_test.go
@@ -176,3 +176,17 @@
 	q.Attempt = 4
 	is.Equal(e.Resolve(later.Add(50*time.Second), q).State, ResolvedMoved)
 }
+
+func TestLateQuestionGetsNoClaim(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	e.Drain(origin)
+	e.Arrive(origin, once(1, "k"))
+	is.Equal(lastReply(e.Arrive(origin, retryWithOwner(2, "k", 3, e.Self()))).Outcome, OutcomeNotRun)
+	for _, target := range []Ref{e.Self(), e.Clock(origin)} {
+		q := Query{Key: "k", Attempt: 2, Target: target, Asker: ref(2, 1)}
+		is.Equal(e.Resolve(origin, q).State, ResolvedUnknown) // attempt 3 was declared not run
+	}
+	q := Query{Key: "k", Attempt: 4, Target: e.Self(), Asker: ref(2, 1)}
+	is.Equal(e.Resolve(origin, q).State, ResolvedNotRun)
+}
