--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -30,31 +30,26 @@
 // with the upstreams' runs at the end.
 type refusals struct {
 	mu   sync.Mutex
-	list []refusal
+	list []caller.Refusal
 }
 
-type refusal struct {
-	id      string
-	attempt int
-}
-
-func (r *refusals) add(id string, attempt int) {
+func (r *refusals) add(v caller.Refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.list = append(r.list, refusal{id, attempt})
+	r.list = append(r.list, v)
 }
 
-// falsified counts the refused attempts that ran.
-func (r *refusals) falsified(runs *upstream.Runs) uint64 {
+// falsified returns the refused attempts that ran.
+func (r *refusals) falsified(runs *upstream.Runs) []caller.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var n uint64
+	var out []caller.Refusal
 	for _, v := range r.list {
-		if runs.Ran(v.id, v.attempt) {
-			n++
+		if runs.Ran(v.ID, v.Attempt) {
+			out = append(out, v)
 		}
 	}
-	return n
+	return out
 }
 
 // lastPacket is the last packet that a zone received, and the process that
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -20,6 +20,9 @@
 
 const reportMode = 0o644
 
+// maxFalseRefusals bounds what the report lists of false refusals.
+const maxFalseRefusals = 20
+
 // What one process cannot tell apart.
 var notes = []string{
 	"rss_mb and cpu_percent are of the one process that runs everything: entries, agents and the stand-ins",
@@ -45,17 +48,19 @@
 	StreamsOpened uint64                  `json:"streams_opened"`
 	StreamsBroken map[caller.Cause]uint64 `json:"streams_broken"`
 
-	Requests      uint64            `json:"requests"`
-	Attempts      uint64            `json:"attempts"`
-	NotSent       uint64            `json:"requests_not_sent"`
-	Outcomes      map[string]uint64 `json:"outcomes"`
-	Refusals      map[string]uint64 `json:"refused_attempts"`
-	DoubledRuns   uint64            `json:"doubled_runs"`
-	FalseNotRun   uint64            `json:"false_not_run"`
-	WrongService  uint64            `json:"wrong_service_packets"`
-	Crossed       uint64            `json:"crossed_answers"`
-	Truncated     uint64            `json:"truncated_as_success"`
-	LatencyMillis map[string]int64  `json:"latency_ms"`
+	Requests    uint64            `json:"requests"`
+	Attempts    uint64            `json:"attempts"`
+	NotSent     uint64            `json:"requests_not_sent"`
+	Outcomes    map[string]uint64 `json:"outcomes"`
+	Refusals    map[string]uint64 `json:"refused_attempts"`
+	DoubledRuns uint64            `json:"doubled_runs"`
+	FalseNotRun uint64            `json:"false_not_run"`
+	// FalseRefusals are the first attempts that FalseNotRun counts.
+	FalseRefusals []caller.Refusal `json:"false_refusals"`
+	WrongService  uint64           `json:"wrong_service_packets"`
+	Crossed       uint64           `json:"crossed_answers"`
+	Truncated     uint64           `json:"truncated_as_success"`
+	LatencyMillis map[string]int64 `json:"latency_ms"`
 
 	Imbalance      map[string]float64 `json:"imbalance"`
 	ImbalanceWhole map[string]float64 `json:"imbalance_whole"`
@@ -110,7 +115,7 @@
 		StreamsOpened: t.StreamsOpened, StreamsBroken: t.StreamsBroken,
 		Requests: t.Requests, Attempts: t.Attempts, NotSent: r.notSent.Load(),
 		Outcomes: t.Outcomes, Refusals: t.Refusals,
-		DoubledRuns: w.runs.Doubled(), FalseNotRun: w.refused.falsified(w.runs),
+		DoubledRuns:  w.runs.Doubled(),
 		WrongService: t.WrongService, Crossed: t.Crossed, Truncated: t.Truncated,
 		LatencyMillis: map[string]int64{
 			"p50": t.LatenciesMicro.ValueAtQuantile(50) / 1000,
@@ -127,6 +132,9 @@
 		out.FlowsBroken[c] += 0 // present also when none broke
 		out.StreamsBroken[c] += 0
 	}
+	falsified := w.refused.falsified(w.runs)
+	out.FalseNotRun = uint64(len(falsified))
+	out.FalseRefusals = falsified[:min(len(falsified), maxFalseRefusals)]
 	out.Imbalance, out.ImbalanceWhole = r.imbalance()
 	out.Baselines = w.scenario.baselines()
 	r.addSteps(out)
@@ -194,6 +202,9 @@
 	row("requests above slots / after leaving", fmt.Sprintf("%d / %d", r.SlotsExceeded, r.AfterLeaving))
 	row("control bytes a second, greatest", figures(r.ControlBytes))
 	row("whole process: CPU % / MB", fmt.Sprintf("%.0f / %.0f", r.ProcessPercent, r.ResidentMB["process"]))
+	for _, f := range r.FalseRefusals {
+		row("false not-run", fmt.Sprintf("%s attempt %d of %s: %s", f.Path, f.Attempt, f.ID, f.Reason))
+	}
 	for _, f := range r.Faults {
 		row("step failed", f)
 	}
--- a/internal/standin/caller/pool.go
+++ b/internal/standin/caller/pool.go
@@ -20,6 +20,14 @@
 	openInterval = time.Millisecond
 )
 
+// Refusal is one attempt that was answered not-run.
+type Refusal struct {
+	ID      string `json:"id"`
+	Attempt int    `json:"attempt"`
+	Path    string `json:"path"`
+	Reason  string `json:"reason"`
+}
+
 // Options describe the callers of one service.
 type Options struct {
 	Service string
@@ -32,7 +40,7 @@
 	StreamPath string
 	Counters   *Counters
 	// NotRun is told of each attempt that was answered not-run; may be nil.
-	NotRun func(id string, attempt int)
+	NotRun func(Refusal)
 	Seed   uint64
 }
 
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -170,7 +170,7 @@
 		o.known = request.Outcome(known)
 		o.reason = res.Header.Get(request.HeaderReason)
 		if o.known == request.OutcomeNotRun && p.o.NotRun != nil {
-			p.o.NotRun(id, attempt)
+			p.o.NotRun(Refusal{ID: id, Attempt: attempt, Path: k.Path, Reason: o.reason})
 		}
 		return o
 	}
