Answer unknown when a retry of a run that failed is refused

An idempotent request whose first try may have run is tried once more; when that try was refused, the refusal became the request's outcome, not-run, though the first try had run. The new test drives the path and fails without the change: the outcome is unknown, which idempotent callers retry.

--- a/internal/request/engine_test.go
+++ b/internal/request/engine_test.go
@@ -87,3 +87,28 @@
 	is.Equal(ask[0].(AskOwner).Owner, peer)
 	is.Equal(e.OwnerAnswered(origin, 1, Resolution{State: ResolvedNotRun}), []Action{RunUpstream{ID: 1}})
 }
+
+// A retry that is refused must not make a request not-run whose first try may
+// have run, also when it is idempotent.
+func TestRefusedRetryOfAnIdempotentRequestIsUnknown(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	peer := ref(2, 7)
+	peer.Clock = 1
+	e.PeerLoad(origin, PeerReport{Peer: peer, Load: admission.Load{Limit: 4}})
+	r := Request{ID: 1, Class: config.Class{Name: "status", DeadlineMillis: 1000}, Deadline: origin.Add(time.Second)}
+	relayed := e.Arrive(origin, r)
+	is.Equal(relayed[len(relayed)-1].(RelayTo).Peer, peer)
+	e.Drain(origin) // nothing may start here any more
+	last := e.RelayDone(origin, 1, Result{Outcome: OutcomeUnknown, Reason: ReasonUpstreamFailed})
+	is.Equal(last[0].(Reply).Outcome, OutcomeUnknown)
+
+	e = newEngine(1, 1)
+	is.Equal(e.Arrive(origin, r)[0], RunUpstream{ID: 1})
+	e.PeerLoad(origin, PeerReport{Peer: peer, Load: admission.Load{Limit: 4}})
+	again := e.UpstreamDone(origin, 1, Result{Outcome: OutcomeUnknown, Reason: ReasonUpstreamFailed})
+	is.Equal(again[0].(RelayTo).Peer, peer)
+	e.Drain(origin)
+	refused := e.RelayDone(origin, 1, Result{Outcome: OutcomeNotRun, Reason: ReasonNoSlot})
+	is.Equal(refused[len(refused)-1].(Reply).Outcome, OutcomeUnknown)
+}
--- a/internal/request/finish.go
+++ b/internal/request/finish.go
@@ -88,6 +88,7 @@
 // nothing of the answer was passed on: at a peer after a run here, here after
 // a relay.
 func (e *Engine) retryIdempotent(now time.Time, j *job, r Result) {
+	j.mayHaveRun = true
 	final := r.Passed || j.Class.StayConnected || r.Reason == ReasonUpstreamTimeout
 	switch {
 	case final:
@@ -141,6 +142,9 @@
 // finish ends a request that holds no run with a final answer.
 func (e *Engine) finish(now time.Time, j *job, outcome Outcome, reason Reason) {
 	delete(e.jobs.byID, j.ID)
+	if j.mayHaveRun && outcome == OutcomeNotRun {
+		outcome = OutcomeUnknown
+	}
 	if j.entry != nil {
 		e.endEntry(now, j, outcome, reason)
 	}
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -32,6 +32,9 @@
 	asks    int // agents asked in a row
 	shed    bool
 	retries int
+	// mayHaveRun tells that an earlier try of an idempotent request may have
+	// run.
+	mayHaveRun bool
 }
 
 // minCompact is the number of ended items that are not worth a compaction.
