--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -54,10 +54,10 @@
 	p, err := caller.New(caller.Options{
 		Service: serviceName, Address: b.addr(0, 1, portService), TLS: b.certs.Client(),
 		Flows: flows, StreamShare: 0.2, StreamPath: "/stream/bell", Counters: b.counters, Seed: 1,
-		NotRun: func(id string, attempt int) {
+		NotRun: func(r caller.Refusal) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			b.notRun[id] = attempt
+			b.notRun[r.ID] = r.Attempt
 		},
 	})
 	b.must(err)
