--- a/internal/agent/caller_test.go
+++ b/internal/agent/caller_test.go
@@ -37,7 +37,7 @@
 func (b *bench) prepare() *caller {
 	c := &caller{addr: addr(200, 1000+len(b.callers))}
 	b.callers = append(b.callers, c)
-	c.transport = &quic.Transport{Conn: callerConn{b.net.endpoint(c.addr)}, ConnectionIDLength: 8}
+	c.transport = &quic.Transport{Conn: callerConn{b.net.Socket(c.addr), b.net}, ConnectionIDLength: 8}
 	return c
 }
 
--- a/internal/agent/flow_test.go
+++ b/internal/agent/flow_test.go
@@ -232,7 +232,7 @@
 
 func fuzzSocket(ring *keyring.Ring) *socket {
 	n := newMemoryNetwork(ring, 7)
-	s := newSocket(n.endpoint(addr(1, 1)), addr(1, 1), 0, &newMetrics(newTestRegistry()).socket)
+	s := newSocket(n.Socket(addr(1, 1)), addr(1, 1), 0, &newMetrics(newTestRegistry()).socket)
 	s.load = func() flowLoad { return flowLoad{1, 2} }
 	s.peer = func(netip.AddrPort, time.Time) (flowLoad, bool) { return flowLoad{}, false }
 	s.report = func(_ netip.AddrPort, b []byte) { parseLoad(ring, b) }
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -69,12 +69,12 @@
 }
 
 func (b *bench) cutWhere(blocked func(from, to netip.AddrPort) bool) func() {
-	b.net.cut(blocked)
-	return func() { b.net.cut(nil) }
+	b.net.Cut(blocked)
+	return func() { b.net.Cut(nil) }
 }
 
 // inZone tells the zone of an address; the network is locked by its caller.
-func (b *bench) inZone(zone string, a netip.AddrPort) bool { return b.net.zones[a] == zone }
+func (b *bench) inZone(zone string, a netip.AddrPort) bool { return b.net.inZone(a, zone) }
 
 const pauseLength = 20 * time.Second
 
--- /dev/null
+++ b/internal/standin/memnet/network.go
@@ -0,0 +1,151 @@
+// Package memnet is a network in memory: datagram sockets and byte streams
+// with a delay, and cuts between any two addresses. It works in virtual time.
+package memnet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// inboxSize is the number of datagrams that wait at a socket; more are lost.
+const inboxSize = 4096
+
+// ErrRefused reports an address at which nobody listens.
+var ErrRefused = errors.New("memnet: connection refused")
+
+// Options describe a network.
+type Options struct {
+	Delay time.Duration // of each datagram
+	// Silent makes Dial wait for its context, instead of being refused, at an
+	// address that was never listened on.
+	Silent bool
+	// Divert, when set, is asked first for each datagram; it returns true for
+	// those that it took. It must not keep data.
+	Divert func(data []byte, from, to netip.AddrPort) bool
+}
+
+// Network joins sockets and listeners. It is safe for concurrent use.
+type Network struct {
+	opts Options
+
+	mu        sync.Mutex
+	sockets   map[netip.AddrPort]*Socket
+	listeners map[netip.AddrPort]*listener
+	blocked   func(from, to netip.AddrPort) bool
+}
+
+// New returns an empty network.
+func New(o Options) *Network {
+	return &Network{
+		opts:      o,
+		sockets:   map[netip.AddrPort]*Socket{},
+		listeners: map[netip.AddrPort]*listener{},
+	}
+}
+
+// Cut drops what is sent between the addresses for which blocked returns true;
+// nil heals the network.
+func (n *Network) Cut(blocked func(from, to netip.AddrPort) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked = blocked
+}
+
+// reaches is called with the lock held.
+func (n *Network) reaches(from, to netip.AddrPort) bool {
+	return n.blocked == nil || !n.blocked(from, to)
+}
+
+// Deliver sends one datagram. It is lost where no socket is open.
+func (n *Network) Deliver(data []byte, from, to netip.AddrPort) {
+	if n.opts.Divert != nil && n.opts.Divert(data, from, to) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.reaches(from, to) {
+		return
+	}
+	d := datagram{data: slices.Clone(data), from: from}
+	time.AfterFunc(n.opts.Delay, func() { n.arrive(d, to) })
+}
+
+func (n *Network) arrive(d datagram, to netip.AddrPort) {
+	n.mu.Lock()
+	s := n.sockets[to]
+	n.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case s.inbox <- d:
+	default:
+	}
+}
+
+// Listen accepts connections at the address.
+func (n *Network) Listen(a netip.AddrPort) (net.Listener, error) {
+	l := &listener{addr: a, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[a] = l
+	return l, nil
+}
+
+// Dial connects to a listener. It waits for ctx where no packet would be
+// answered; the error is that of ctx or ErrRefused.
+func (n *Network) Dial(ctx context.Context, from, to netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[to]
+	cut := !n.reaches(from, to) || !n.reaches(to, from)
+	n.mu.Unlock()
+	if cut || (l == nil && n.opts.Silent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, ErrRefused
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// listener accepts connections.
+type listener struct {
+	addr   netip.AddrPort
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
--- /dev/null
+++ b/internal/standin/memnet/network_test.go
@@ -0,0 +1,73 @@
+package memnet
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+var (
+	here  = netip.MustParseAddrPort("192.0.2.1:1")
+	there = netip.MustParseAddrPort("192.0.2.2:1")
+)
+
+func TestDatagrams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := New(Options{Delay: time.Millisecond})
+		a, b := n.Socket(here), n.Socket(there)
+		buf := make([]byte, 10)
+		send := func(what string) error {
+			_, err := a.WriteToUDPAddrPort([]byte(what), there)
+			is.NoErr(err)
+			is.NoErr(b.SetReadDeadline(time.Now().Add(time.Second)))
+			_, from, err := b.ReadFromUDPAddrPort(buf)
+			is.True(err != nil || from == here)
+			return err
+		}
+		start := time.Now()
+		is.NoErr(send("one"))
+		is.Equal(time.Since(start), time.Millisecond) // virtual time
+		n.Cut(func(from, _ netip.AddrPort) bool { return from == here })
+		is.True(errors.Is(send("lost"), os.ErrDeadlineExceeded))
+		n.Cut(nil)
+		is.NoErr(send("two"))
+		is.Equal(string(buf[:3]), "two")
+		is.NoErr(a.Close())
+		is.NoErr(b.Close())
+		_, _, err := b.ReadFrom(buf)
+		is.True(err != nil)
+	})
+}
+
+func TestDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		loud, silent := New(Options{}), New(Options{Silent: true})
+		_, err := loud.Dial(t.Context(), here, there)
+		is.Equal(err, ErrRefused)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = silent.Dial(ctx, here, there)
+		is.Equal(err, context.DeadlineExceeded)
+		l, err := loud.Listen(there)
+		is.NoErr(err)
+		go func() {
+			c, _ := l.Accept()
+			_, _ = c.Write([]byte("x"))
+		}()
+		c, err := loud.Dial(t.Context(), here, there)
+		is.NoErr(err)
+		_, err = c.Read(make([]byte, 1))
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		_, err = loud.Dial(t.Context(), here, there)
+		is.Equal(err, ErrRefused)
+	})
+}
