Keep long-lived streams with their flow's agent

The agents had 0 flows but 1 to 10 requests: all of them long-lived streams that peers had relayed there. Such a stream lasts as long as its caller likes, and the GOAWAY of the draining agent does not reach the caller, whose flow is at the peer. Ruled out: a leaked request (every try had its handler in a stack dump), and GOAWAY on an upstream's lapse, which would move all flows for a short lapse. A test of the engine fails without the change.

--- a/internal/request/engine_test.go
+++ b/internal/request/engine_test.go
@@ -112,3 +112,25 @@
 	refused := e.RelayDone(origin, 1, Result{Outcome: OutcomeNotRun, Reason: ReasonNoSlot})
 	is.Equal(refused[len(refused)-1].(Reply).Outcome, OutcomeUnknown)
 }
+
+// A relayed stream would keep the peer from ever finishing a drain.
+func TestLongLivedStreamsStayWithTheirFlow(t *testing.T) {
+	is := is.New(t)
+	e := newEngine(1, 1)
+	peer := ref(2, 7)
+	peer.Clock = 1
+	e.PeerLoad(origin, PeerReport{Peer: peer, Load: admission.Load{Limit: 4}})
+	stream := Request{ID: 1, Class: config.Class{Name: "session", StayConnected: true}}
+	is.Equal(e.Arrive(origin, stream), []Action{RunUpstream{ID: 1}}) // although the peer is less loaded
+
+	e.Announce(origin, admission.Announcement{}) // the upstream is gone
+	stream.ID = 2
+	is.Equal(e.Arrive(origin, stream)[0].(RelayTo).Peer, peer)
+
+	e = newEngine(1, 1)
+	e.PeerLoad(origin, PeerReport{Peer: peer, Load: admission.Load{Limit: 4}})
+	e.Drain(origin)
+	refused := e.Arrive(origin, stream)
+	is.Equal(refused[0].(Reply).Outcome, OutcomeNotRun)
+	is.Equal(refused[0].(Reply).Reason, ReasonDraining)
+}
--- a/internal/request/relay.go
+++ b/internal/request/relay.go
@@ -9,10 +9,18 @@
 // run here.
 const relayMargin = 0.4
 
+// mayRelay reports whether a peer may get the request. A long-lived stream
+// stays with its flow's agent while that has an upstream: at a peer it would
+// last as long as the caller likes, and the peer, whose GOAWAY does not reach
+// that caller, could not finish a drain.
+func (e *Engine) mayRelay(j *job) bool {
+	return len(j.Via) < MaxRelays && (!j.Class.StayConnected || !e.present)
+}
+
 // relayIfLighter relays a request that this agent could take when a peer is
 // clearly less loaded.
 func (e *Engine) relayIfLighter(now time.Time, j *job) bool {
-	if len(j.Via) >= MaxRelays {
+	if !e.mayRelay(j) {
 		return false
 	}
 	load := e.limiter.Load(now)
@@ -38,7 +46,7 @@
 // elsewhere relays a request that can't run here, or refuses it. Every relay
 // after the first try costs a token of the class's retry budget.
 func (e *Engine) elsewhere(now time.Time, j *job, reason Reason) {
-	if e.zoneOut || len(j.Via) >= MaxRelays {
+	if e.zoneOut || !e.mayRelay(j) {
 		e.finish(now, j, OutcomeNotRun, reason)
 		return
 	}
