Judge agents by the objects that concern them

Cause: crocusctl status compared every process with the store's highest revision, but an agent keeps only zones, keys and its own service, so a change of another service showed it as behind for ever. Conclusion: while the store is out only entries are compared, with the newest of them.

--- a/cmd/crocusctl/commands.go
+++ b/cmd/crocusctl/commands.go
@@ -145,21 +145,21 @@
 	}
 }
 
-// status compares the processes with the store, or with the newest process
-// while the store is out.
+// status compares the processes with the store, or the entries with the
+// newest one while the store is out.
 func (c *command) status(ctx context.Context) error {
 	replies, err := ctl.Survey(ctx, c.call, c.conf.Seeds)
 	if err != nil {
 		return err
 	}
-	revision := ctl.Newest(replies)
+	due := ctl.NewestOf(replies)
 	objects, err := ctl.ConfigObjects(ctx, c.store)
 	if err != nil {
-		fmt.Println("the store does not answer; compared with the newest process:", err)
+		fmt.Println("the store does not answer; compared with the newest entry:", err)
 	} else {
-		revision = ctl.Highest(objects)
+		due = ctl.RevisionsOf(objects)
 	}
-	ctl.WriteStatus(os.Stdout, replies, revision)
+	ctl.WriteStatus(os.Stdout, replies, due)
 	return nil
 }
 
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -140,27 +140,6 @@
 	return events, silent, nil
 }
 
-// Behind returns the replies of processes that did not answer or whose
-// configuration is older than the revision.
-func Behind(replies []Reply, revision uint64) []Reply {
-	var out []Reply
-	for _, r := range replies {
-		if r.Err != nil || r.Status.ConfigRevision < revision {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// Newest returns the highest revision that a process has in force.
-func Newest(replies []Reply) uint64 {
-	var highest uint64
-	for _, r := range replies {
-		highest = max(highest, r.Status.ConfigRevision)
-	}
-	return highest
-}
-
 // CheckUnused returns an error while a flow carries the key generation or a
 // process could not be asked.
 func CheckUnused(replies []Reply, generation uint8) error {
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -52,16 +52,16 @@
 	_ = t.Flush()
 }
 
-// WriteStatus lists the processes and, below, those that lack the revision.
+// WriteStatus lists the processes and, below, those that lack what they should have in force.
 // The columns FLOWS and STREAMS count what a forced stop would cut.
-func WriteStatus(w io.Writer, replies []Reply, revision uint64) {
+func WriteStatus(w io.Writer, replies []Reply, x Revisions) {
 	t := table(w)
 	_, _ = fmt.Fprintln(t, "PROCESS\tROLE\tZONE\tSTATE\tCONFIG\tKEY\tSERVICE\tBUSY\tLIMIT\tSLOTS\tQUEUED\tFLOWS\tSTREAMS")
 	for _, r := range replies {
 		writeReply(t, r)
 	}
 	_ = t.Flush()
-	writeBehind(w, replies, revision)
+	writeBehind(w, replies, x)
 }
 
 func writeReply(w io.Writer, r Reply) {
@@ -82,19 +82,19 @@
 	}
 }
 
-func writeBehind(w io.Writer, replies []Reply, revision uint64) {
-	behind := Behind(replies, revision)
+func writeBehind(w io.Writer, replies []Reply, x Revisions) {
+	behind := x.Behind(replies)
 	if len(behind) == 0 {
-		_, _ = fmt.Fprintf(w, "revision %d is in force in all %d processes\n", revision, len(replies))
+		_, _ = fmt.Fprintf(w, "revision %d is in force in all %d processes\n", x.All, len(replies))
 		return
 	}
-	_, _ = fmt.Fprintf(w, "revision %d is missing in %d of %d processes:\n", revision, len(behind), len(replies))
+	_, _ = fmt.Fprintf(w, "revision %d is missing in %d of %d processes:\n", x.All, len(behind), len(replies))
 	for _, r := range behind {
 		if r.Err != nil {
 			_, _ = fmt.Fprintf(w, "  %s: no answer\n", r.Member.Process)
 			continue
 		}
-		_, _ = fmt.Fprintf(w, "  %s: at revision %d\n", r.Status.Process, r.Status.ConfigRevision)
+		_, _ = fmt.Fprintf(w, "  %s: at revision %d, due %d\n", r.Status.Process, r.Status.ConfigRevision, x.due(&r))
 	}
 }
 
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -57,15 +57,6 @@
 	return snapshot.Objects, nil
 }
 
-// Highest returns the highest revision among the objects.
-func Highest(objects []config.Object) uint64 {
-	var highest uint64
-	for _, o := range objects {
-		highest = max(highest, o.Revision)
-	}
-	return highest
-}
-
 // Execute writes one change and returns the object that it left. The errors
 // are those of platform.Client.
 func Execute(ctx context.Context, s Store, c Change) (config.Object, error) {
--- a/internal/experiment/steps.go
+++ b/internal/experiment/steps.go
@@ -267,5 +267,5 @@
 	if err != nil {
 		return err
 	}
-	return r.awaitForce(ctx, file.Services[0].Name, ctl.Highest(after), accepted)
+	return r.awaitForce(ctx, file.Services[0].Name, ctl.RevisionsOf(after).All, accepted)
 }
