Ship the profiles steady, overload and drains

Cause: the scenarios that measured balance without faults, goodput at three times the load and drains one after the other were not in the repository, so their figures could not be run again. After: three profiles; the test of profiles checks every step's time instead of the last one's.

--- a/cmd/crocus-try/main.go
+++ b/cmd/crocus-try/main.go
@@ -64,7 +64,7 @@
 	p := flaggy.NewParser("crocus-try")
 	p.Description = "tries a whole fleet on loopback and reports what callers saw"
 	p.Version = version
-	p.String(&o.profile, "p", "profile", "shipped scenario: mtkvari, huron or hold")
+	p.String(&o.profile, "p", "profile", "shipped scenario: mtkvari, huron, hold, steady, overload or drains")
 	p.String(&o.scenario, "s", "scenario", "scenario file, instead of a profile")
 	p.UInt64(&o.seed, "", "seed", "seed, instead of the scenario's")
 	p.Float64(&o.scale, "", "scale", "factor on the number of flows")
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -104,14 +104,15 @@
 }
 
 func TestProfilesAreValid(t *testing.T) {
-	for _, name := range []string{"mtkvari", "huron", "hold"} {
+	for _, name := range []string{"mtkvari", "huron", "hold", "steady", "overload", "drains"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s, err := Profile(name)
 			is.NoErr(err)
 			is.Equal(s.Name, name)
-			last := s.Steps[len(s.Steps)-1]
-			is.True(last.AtSeconds < s.DurationSeconds)
+			for _, step := range s.Steps {
+				is.True(step.AtSeconds < s.DurationSeconds)
+			}
 			for _, service := range s.Services {
 				var share float64
 				for _, c := range service.Classes {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -103,7 +103,7 @@
 func Profile(name string) (*Scenario, error) {
 	data, err := profiles.ReadFile("profiles/" + name + ".json")
 	if err != nil {
-		return nil, errors.Errorf("no profile %q; there are mtkvari, huron and hold", name)
+		return nil, errors.Errorf("no profile %q; there are mtkvari, huron, hold, steady, overload and drains", name)
 	}
 	s := &Scenario{}
 	if err := config.Decode(data, s); err != nil {
