--- a/internal/experiment/instances.go
+++ b/internal/experiment/instances.go
@@ -111,8 +111,8 @@
 	return a, nil
 }
 
-// backend is an upstream and the agent beside it.
-type backend struct {
+// upstreamInstance is an upstream and the agent beside it.
+type upstreamInstance struct {
 	name    string
 	service *Service
 	zone    string
@@ -126,15 +126,15 @@
 	started time.Time
 }
 
-// startBackend starts a cold or warm upstream and its agent on a new address.
-func (w *World) startBackend(service *Service, index int, cold bool) (*backend, error) {
+// startUpstream starts a cold or warm upstream and its agent on a new address.
+func (w *World) startUpstream(service *Service, index int, cold bool) (*upstreamInstance, error) {
 	host := w.nextHost(&w.agentHosts)
 	zone := w.scenario.Zones[index%len(w.scenario.Zones)]
 	s := w.layout.agent(host, zone, w.storeURL)
-	b := &backend{service: service, zone: zone, index: index, started: time.Now()}
-	b.name = backendName(service, index, host)
+	u := &upstreamInstance{service: service, zone: zone, index: index, started: time.Now()}
+	u.name = upstreamName(service, index, host)
 	up, err := upstream.New(upstream.Options{
-		Name: b.name, Service: service.Name, Address: w.layout.upstream(host),
+		Name: u.name, Service: service.Name, Address: w.layout.upstream(host),
 		Slots: service.Slots, Connections: service.Connections,
 		Speed: service.Speeds[index], Work: millis(service.WorkMillis),
 		Cold:      upstream.Cold{Share: service.ColdShare, WarmUp: millis(float64(service.WarmUpMillis))},
@@ -144,29 +144,29 @@
 	if err != nil {
 		return nil, err
 	}
-	b.up = up
+	u.up = up
 	ctx, cancel := context.WithCancel(context.Background())
-	b.stopUp, b.upDone = cancel, make(chan struct{})
+	u.stopUp, u.upDone = cancel, make(chan struct{})
 	go func() {
-		defer close(b.upDone)
+		defer close(u.upDone)
 		if err := up.Run(ctx); err != nil {
-			w.log.Error("upstream failed", "name", b.name, "error", err)
+			w.log.Error("upstream failed", "name", u.name, "error", err)
 		}
 	}()
-	if b.agent, err = w.startAgent(s); err != nil {
+	if u.agent, err = w.startAgent(s); err != nil {
 		cancel()
 		return nil, err
 	}
-	w.announce(b)
+	w.announce(u)
 	w.mu.Lock()
-	w.backends = append(w.backends, b)
+	w.upstreams = append(w.upstreams, u)
 	w.mu.Unlock()
-	return b, nil
+	return u, nil
 }
 
 // announce makes the upstream tell its present agent of itself.
-func (w *World) announce(b *backend) {
+func (w *World) announce(u *upstreamInstance) {
 	ctx, cancel := context.WithCancel(context.Background())
-	b.silence = cancel
-	go b.up.Announce(ctx, b.agent.addr.Announce)
+	u.silence = cancel
+	go u.up.Announce(ctx, u.agent.addr.Announce)
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -205,8 +205,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var t upstream.Counts
-	for _, b := range w.backends {
-		c := b.up.Counts()
+	for _, u := range w.upstreams {
+		c := u.up.Counts()
 		t.Ran += c.Ran
 		t.Shed += c.Shed
 		t.Cancelled += c.Cancelled
--- a/internal/experiment/sample.go
+++ b/internal/experiment/sample.go
@@ -48,21 +48,21 @@
 func (r *run) sampleAll(now time.Time) {
 	w := r.world
 	w.mu.Lock()
-	backends := slices.Clone(w.backends)
+	upstreams := slices.Clone(w.upstreams)
 	w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, b := range backends {
-		s := r.series[b.name]
+	for _, u := range upstreams {
+		s := r.series[u.name]
 		if s == nil {
-			s = &series{name: b.name, service: b.service.Name}
-			r.series[b.name] = s
+			s = &series{name: u.name, service: u.service.Name}
+			r.series[u.name] = s
 			r.order = append(r.order, s)
 		}
-		_, busy := b.up.Busy()
+		_, busy := u.up.Busy()
 		if s.complete {
-			use := float64(busy-s.busy) / float64(now.Sub(s.last)) / float64(b.service.Slots)
-			s.samples = append(s.samples, sample{at: now.Sub(r.start), use: use, inService: w.inService(b)})
+			use := float64(busy-s.busy) / float64(now.Sub(s.last)) / float64(u.service.Slots)
+			s.samples = append(s.samples, sample{at: now.Sub(r.start), use: use, inService: w.inService(u)})
 		}
 		s.busy, s.last, s.complete = busy, now, true
 	}
@@ -70,11 +70,11 @@
 
 // inService reports whether an upstream is expected to carry its full share:
 // it does not leave, is warm, has its agent, and its zone is in.
-func (w *World) inService(b *backend) bool {
+func (w *World) inService(u *upstreamInstance) bool {
 	w.mu.Lock()
-	a := b.agent
+	a := u.agent
 	w.mu.Unlock()
-	if b.leaving.Load() || !a.alive() || b.up.InColdStart() {
+	if u.leaving.Load() || !a.alive() || u.up.InColdStart() {
 		return false
 	}
 	healthy, _ := a.agent.Health()
--- a/internal/experiment/steps.go
+++ b/internal/experiment/steps.go
@@ -172,34 +172,34 @@
 
 // killAgent ends the agent process at once; the platform starts it again at
 // the same address.
-func (w *World) killAgent(ctx context.Context, b *backend) error {
-	b.silence()
-	b.agent.kill()
-	<-b.agent.done
+func (w *World) killAgent(ctx context.Context, u *upstreamInstance) error {
+	u.silence()
+	u.agent.kill()
+	<-u.agent.done
 	if !sleepUntil(ctx, time.Now().Add(restartPause)) {
 		return nil
 	}
-	return w.restartAgent(b, b.agent.addr)
+	return w.restartAgent(u, u.agent.addr)
 }
 
-func (w *World) restartAgent(b *backend, s config.Agent) error {
+func (w *World) restartAgent(u *upstreamInstance, s config.Agent) error {
 	s.Seeds = nil
 	a, err := w.startAgent(s)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
-	b.agent = a
+	u.agent = a
 	w.mu.Unlock()
-	w.announce(b)
+	w.announce(u)
 	return nil
 }
 
 // replaceAgent starts a new agent beside the same upstream and drains the old.
-func (w *World) replaceAgent(ctx context.Context, b *backend) error {
-	old, silence := b.agent, b.silence
-	s := w.layout.agent(w.nextHost(&w.agentHosts), b.zone, w.storeURL)
-	if err := w.restartAgent(b, s); err != nil {
+func (w *World) replaceAgent(ctx context.Context, u *upstreamInstance) error {
+	old, silence := u.agent, u.silence
+	s := w.layout.agent(w.nextHost(&w.agentHosts), u.zone, w.storeURL)
+	if err := w.restartAgent(u, s); err != nil {
 		return err
 	}
 	old.agent.Stop()
@@ -208,21 +208,21 @@
 }
 
 // drainUpstream starts another upstream, cold, and lets the old one leave.
-func (w *World) drainUpstream(ctx context.Context, b *backend) error {
-	b.leaving.Store(true)
-	if _, err := w.startBackend(b.service, b.index, true); err != nil {
+func (w *World) drainUpstream(ctx context.Context, u *upstreamInstance) error {
+	u.leaving.Store(true)
+	if _, err := w.startUpstream(u.service, u.index, true); err != nil {
 		return err
 	}
-	b.up.Leave()
+	u.up.Leave()
 	waiting, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	if err := b.up.WaitDrained(waiting, b.agent.addr.Announce); err != nil {
+	if err := u.up.WaitDrained(waiting, u.agent.addr.Announce); err != nil {
 		return err
 	}
-	b.silence()
-	b.stopUp()
-	b.agent.agent.Stop()
-	return b.agent.waitEnd(ctx)
+	u.silence()
+	u.stopUp()
+	u.agent.agent.Stop()
+	return u.agent.waitEnd(ctx)
 }
 
 // moveZone takes a zone out or in as operators do.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -48,8 +48,8 @@
 
 	mu         sync.Mutex // guards the lists below
 	entries    []*entryInstance
-	agents     []*agentInstance // all ever started
-	backends   []*backend       // all ever started
+	agents     []*agentInstance    // all ever started
+	upstreams  []*upstreamInstance // all ever started
 	entryHosts int
 	agentHosts int
 }
@@ -84,7 +84,7 @@
 	return netip.AddrPortFrom(l.host(agentOctet, host), upstreamPort)
 }
 
-func backendName(s *Service, index, host int) string {
+func upstreamName(s *Service, index, host int) string {
 	return fmt.Sprintf("%s-%d@%d", s.Name, index, host)
 }
 
@@ -132,14 +132,14 @@
 	return out
 }
 
-// current returns the present backend of an endpoint.
-func (w *World) current(service string, index int) *backend {
+// current returns the present upstream of an endpoint.
+func (w *World) current(service string, index int) *upstreamInstance {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var last *backend
-	for _, b := range w.backends {
-		if b.service.Name == service && b.index == index {
-			last = b
+	var last *upstreamInstance
+	for _, u := range w.upstreams {
+		if u.service.Name == service && u.index == index {
+			last = u
 		}
 	}
 	return last
@@ -233,7 +233,7 @@
 	for i := range w.scenario.Services {
 		service := &w.scenario.Services[i]
 		for index := range service.Speeds {
-			if _, err := w.startBackend(service, index, false); err != nil {
+			if _, err := w.startUpstream(service, index, false); err != nil {
 				return err
 			}
 		}
@@ -276,11 +276,11 @@
 // stop ends everything at once.
 func (w *World) stop() {
 	w.mu.Lock()
-	entries, agents, backends := w.entries, w.agents, w.backends
+	entries, agents, upstreams := w.entries, w.agents, w.upstreams
 	w.mu.Unlock()
-	for _, b := range backends {
-		b.silence()
-		b.stopUp()
+	for _, u := range upstreams {
+		u.silence()
+		u.stopUp()
 	}
 	for _, a := range agents {
 		a.kill()
@@ -290,7 +290,7 @@
 		e.kill()
 		<-e.done
 	}
-	for _, b := range backends {
-		<-b.upDone
+	for _, u := range upstreams {
+		<-u.upDone
 	}
 }
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -27,7 +27,7 @@
 	reorderInterval = 2 * time.Millisecond
 )
 
-// Entry is a live balancer behind the fabric.
+// Entry is a live entry behind the fabric.
 type Entry struct {
 	Addr  netip.AddrPort // where its packets go
 	Zone  string
