--- a/cmd/crocus-try/main.go
+++ b/cmd/crocus-try/main.go
@@ -44,6 +44,7 @@
 	seed       uint64
 	scale      float64
 	logs       bool
+	check      bool
 }
 
 func main() {
@@ -54,6 +55,9 @@
 	}
 	s, err := o.load()
 	exitOn(err, exitInvalid)
+	if o.check {
+		return
+	}
 	ctx, forget := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer forget()
 	exitOn(try(ctx, s, o), exitFailed)
@@ -72,6 +76,7 @@
 	p.String(&o.plot, "", "plot", "SVG file for the load of each upstream over time")
 	p.String(&o.net, "", "net", "loopback net of the run, so that several can run at once")
 	p.Bool(&o.logs, "", "logs", "write the logs of entries and agents to standard error")
+	p.Bool(&o.check, "", "check", "check the scenario and exit")
 	p.String(&o.writeCerts, "", "write-certs", "write trial certificates into this directory and exit")
 	exitOn(p.Parse(), exitInvalid)
 	return o
