--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,9 +79,9 @@
 		flows:       newFlowSet(),
 		peers:       newPeerLoads(),
 		upstream:    newUpstreamClient(d.Network),
-		relays:      newRelayClient(d.Network, d.TLS),
 		stop:        make(chan struct{}),
 	}
+	a.relays = newRelayClient(d.Network, d.TLS, func(r request.PeerReport) { a.driver.peerLoad(r) })
 	if err := a.open(); err != nil {
 		a.closeSockets()
 		return nil, err
--- a/internal/agent/driver.go
+++ b/internal/agent/driver.go
@@ -151,6 +151,13 @@
 	d.step(func(e *request.Engine, now time.Time) []request.Action { return e.PeerLoad(now, r) })
 }
 
+// report returns the load report for peers.
+func (d *driver) report() request.PeerReport {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.Report(time.Now())
+}
+
 func (d *driver) resolve(q request.Query) request.Resolution {
 	out := request.Resolution{State: request.ResolvedUnknown, Reason: request.ReasonOwnerLost}
 	d.step(func(e *request.Engine, now time.Time) []request.Action {
--- a/internal/agent/exchange.go
+++ b/internal/agent/exchange.go
@@ -23,6 +23,7 @@
 	atMost   bool
 	stream   bool
 	deadline time.Time
+	relayed  bool // it came from a peer agent
 	actions  chan request.Action
 
 	mu        sync.Mutex
@@ -156,6 +157,7 @@
 	if x.stream {
 		x.handler.driver.established(x.id)
 	}
+	x.reportLoad(x.gate.Header())
 }
 
 // reply ends the request towards the caller.
@@ -170,9 +172,18 @@
 		// is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	x.reportLoad(x.gate.w.Header())
 	writeRefusal(x.gate.w, a.Outcome, a.Reason, a.RetryAfter)
 }
 
+// reportLoad tells the peer agent that relayed the request of this agent's
+// load.
+func (x *exchange) reportLoad(h http.Header) {
+	if x.relayed {
+		h.Set(request.HeaderLoad, x.handler.driver.report().String())
+	}
+}
+
 // replay answers with the kept answer of an earlier try.
 func (x *exchange) replay(a *request.Answer) {
 	x.handler.metrics.requests.WithLabelValues(string(request.OutcomeRan), "replay").Inc()
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -89,6 +89,7 @@
 		atMost:   q.Class.RunAtMostOnce,
 		stream:   q.Class.StayConnected,
 		deadline: q.Deadline,
+		relayed:  q.Target != nil,
 		actions:  make(chan request.Action, maxActions),
 	}
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -32,12 +32,13 @@
 // mutual TLS.
 type relayClient struct {
 	transport *http.Transport
+	learn     func(request.PeerReport) // takes the load of a peer that answered
 }
 
-func newRelayClient(n Network, tls *wire.MutualTLS) *relayClient {
+func newRelayClient(n Network, tls *wire.MutualTLS, learn func(request.PeerReport)) *relayClient {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(true)
-	return &relayClient{transport: &http.Transport{
+	return &relayClient{learn: learn, transport: &http.Transport{
 		DialContext:        dialFunc(n),
 		TLSClientConfig:    tls.Client("h2"),
 		Protocols:          protocols,
@@ -56,11 +57,14 @@
 		return request.Result{Outcome: request.OutcomeNotRun, Reason: request.ReasonRelayFailed}
 	}
 	a := &attempt{
-		transport:   c.transport,
-		outbound:    x.outbound("https", to.Peer.Addr.String()),
-		atMostOnce:  x.atMost,
-		stream:      x.stream,
-		refusal:     peerRefusal,
+		transport:  c.transport,
+		outbound:   x.outbound("https", to.Peer.Addr.String()),
+		atMostOnce: x.atMost,
+		stream:     x.stream,
+		refusal: func(resp *http.Response) (request.Result, bool) {
+			c.hear(resp, to.Peer)
+			return peerRefusal(resp)
+		},
 		started:     x.established,
 		failed:      request.ReasonRelayFailed,
 		lost:        request.ReasonRelayFailed,
@@ -78,6 +82,14 @@
 	return r
 }
 
+// hear learns the load that the peer's answer reports.
+func (c *relayClient) hear(resp *http.Response, peer request.Ref) {
+	report, err := request.ParseReport(resp.Header.Get(request.HeaderLoad))
+	if err == nil && report.Peer.Same(peer) {
+		c.learn(report)
+	}
+}
+
 // peerRefusal recognizes an answer of the peer that is not its upstream's.
 func peerRefusal(resp *http.Response) (request.Result, bool) {
 	outcome := request.Outcome(resp.Header.Get(request.HeaderOutcome))
