Build the agent's fleet node in one place

Cause: crocus-agent and the experiment each wrote the same fleet node, while the entry makes its own when none is given. The kind of datagram for membership messages was never used, as these have a form of their own. After: a nil Deps.Fleet means the real node, as for entries; the unused kind is gone. Conclusion: no change of behaviour.

--- a/cmd/crocus-agent/main.go
+++ b/cmd/crocus-agent/main.go
@@ -13,9 +13,6 @@
 	"crocusnotch/internal/agent"
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/daemon"
-	"crocusnotch/internal/fleet"
-	"crocusnotch/internal/membership"
-	"crocusnotch/internal/platform"
 	"crocusnotch/internal/wire"
 )
 
@@ -57,28 +54,5 @@
 }
 
 func (a *agentProgram) start(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
-	node, err := a.node(log, r)
-	if err != nil {
-		return nil, err
-	}
-	return agent.New(a.settings, agent.Deps{
-		Log: log, Registry: r, TLS: a.material, Callers: &a.callers, Fleet: node,
-		Incarnation: node.Self().Incarnation,
-	})
-}
-
-func (a *agentProgram) node(log *slog.Logger, r *prometheus.Registry) (*fleet.Node, error) {
-	s := &a.settings
-	return fleet.New(fleet.Options{
-		Self: membership.Record{
-			Addr: s.Data, Control: s.Control, Relay: s.Relay,
-			Role: membership.RoleAgent, State: membership.StateDraining,
-		},
-		Zone:     s.Zone,
-		Seeds:    s.Seeds,
-		Store:    platform.New(s.Store, platform.Options{Registry: r}),
-		TLS:      a.material,
-		Log:      log,
-		Registry: r,
-	})
+	return agent.New(a.settings, agent.Deps{Log: log, Registry: r, TLS: a.material, Callers: &a.callers})
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,7 +29,8 @@
 	Registry *prometheus.Registry
 	TLS      *wire.MutualTLS
 	Callers  *tls.Certificate
-	// Fleet is the view of the other processes.
+	// Fleet is the view of the other processes; nil means a node of the fleet
+	// as the settings describe it, whose incarnation is taken.
 	Fleet Fleet
 	// Network opens sockets; nil means the host's.
 	Network Network
@@ -68,6 +69,14 @@
 	if d.Network == nil {
 		d.Network = &hostNetwork{}
 	}
+	if d.Fleet == nil {
+		node, err := newNode(&s, &d)
+		if err != nil {
+			return nil, err
+		}
+		d.Fleet = node
+		d.Incarnation = node.Self().Incarnation
+	}
 	if d.Incarnation == 0 {
 		d.Incarnation = uint64(time.Now().UnixMilli())
 	}
--- a/internal/agent/fleet.go
+++ b/internal/agent/fleet.go
@@ -5,7 +5,9 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
+	"crocusnotch/internal/fleet"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/platform"
 	"crocusnotch/internal/wire"
 )
 
@@ -21,3 +23,20 @@
 	SetStatus(fill func(*wire.Status))
 	Leave(ctx context.Context)
 }
+
+// newNode returns the fleet node that the settings describe. It announces no
+// upstream yet.
+func newNode(s *config.Agent, d *Deps) (*fleet.Node, error) {
+	return fleet.New(fleet.Options{
+		Self: membership.Record{
+			Addr: s.Data, Control: s.Control, Relay: s.Relay,
+			Role: membership.RoleAgent, State: membership.StateDraining,
+		},
+		Zone:     s.Zone,
+		Seeds:    s.Seeds,
+		Store:    platform.New(s.Store, platform.Options{Registry: d.Registry}),
+		TLS:      d.TLS,
+		Log:      d.Log,
+		Registry: d.Registry,
+	})
+}
--- a/internal/experiment/instances.go
+++ b/internal/experiment/instances.go
@@ -10,9 +10,6 @@
 	"crocusnotch/internal/agent"
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/entry"
-	"crocusnotch/internal/fleet"
-	"crocusnotch/internal/membership"
-	"crocusnotch/internal/platform"
 	"crocusnotch/internal/standin/upstream"
 )
 
@@ -86,20 +83,9 @@
 	a := &agentInstance{addr: s}
 	a.zone, a.settings, a.registry = s.Zone, s.Process, prometheus.NewRegistry()
 	log := w.log.With("role", "agent", "process", s.Data.String())
-	node, err := fleet.New(fleet.Options{
-		Self: membership.Record{
-			Addr: s.Data, Control: s.Control, Relay: s.Relay,
-			Role: membership.RoleAgent, State: membership.StateDraining,
-		},
-		Zone: s.Zone, Seeds: w.seeds(), TLS: w.certs.MutualTLS(), Log: log, Registry: a.registry,
-		Store: platform.New(s.Store, platform.Options{Registry: a.registry}),
-	})
-	if err != nil {
-		return nil, err
-	}
+	var err error
 	a.agent, err = agent.New(s, agent.Deps{
 		Log: log, Registry: a.registry, TLS: w.certs.MutualTLS(), Callers: &w.certs.Callers,
-		Fleet: node, Incarnation: node.Self().Incarnation,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -26,7 +26,6 @@
 	KindToAgent  Kind = 1 // entry to agent, or agent to agent when handed on
 	KindToCaller Kind = 2 // agent to entry
 	KindLoad     Kind = 3 // agent to peer agent: load report
-	KindControl  Kind = 4 // membership message
 )
 
 // Offsets in a datagram header, in bytes.
