--- /dev/null
+++ b/cmd/crocus-entry/http3.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/daemon"
+	"crocusnotch/internal/entry"
+	"crocusnotch/internal/wire"
+)
+
+// http3Program serves HTTP/3 flows.
+func http3Program() *daemon.Program {
+	var s config.Entry
+	var material *wire.MutualTLS
+	return &daemon.Program{
+		Name:        name,
+		Description: description,
+		Version:     version,
+		Role:        role,
+		Settings:    &s,
+		Addresses:   func() (data, metrics netip.AddrPort) { return s.Data, s.Metrics },
+		Load: func() (err error) {
+			material, err = wire.LoadMutualTLS(s.TLS)
+			return err
+		},
+		New: func(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
+			return entry.New(s, entry.Deps{Log: log, Registry: r, TLS: material})
+		},
+	}
+}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -15,6 +15,9 @@
 	KindZone    = "zone"
 	KindKeys    = "keys"
 	KindRoster  = "roster"
+	KindRoutes  = "routes"
+	KindPool    = "pool"
+	KindZoneOut = "zone-out"
 )
 
 // KeysName is the name of the single object of KindKeys.
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -44,6 +45,13 @@
 	Zones     map[uint8]*Zone
 	ByZone    map[string]*Zone
 	Keys      *keyring.Ring // nil until a key object is known
+
+	// The configuration of passed-through flows.
+	Routes   map[netip.AddrPort]*Route // nil until a route object is known
+	Version  uint64                    // of the routes
+	Idle     time.Duration             // of flows
+	Pools    map[string]*Pool
+	ZonesOut map[string]bool
 }
 
 // Empty returns a configuration without objects.
@@ -53,6 +61,8 @@
 		ByAddress: map[netip.AddrPort]*Service{},
 		Zones:     map[uint8]*Zone{},
 		ByZone:    map[string]*Zone{},
+		Pools:     map[string]*Pool{},
+		ZonesOut:  map[string]bool{},
 	}
 }
 
@@ -143,10 +153,25 @@
 		return b.addZone(v)
 	case *keyring.Ring:
 		b.fleet.Keys = v
+	case *Routes:
+		b.setRoutes(v)
+	case *Pool:
+		b.fleet.Pools[v.Name] = v
+	case *ZoneOut:
+		b.fleet.ZonesOut[v.Name] = true
 	}
 	return nil
 }
 
+func (b *builder) setRoutes(r *Routes) {
+	b.fleet.Version = r.Version
+	b.fleet.Idle = r.Idle()
+	b.fleet.Routes = make(map[netip.AddrPort]*Route, len(r.Routes))
+	for i := range r.Routes {
+		b.fleet.Routes[r.Routes[i].Address] = &r.Routes[i]
+	}
+}
+
 func (b *builder) addService(s *Service) error {
 	if other := b.fleet.Services[s.ID]; other != nil {
 		return FieldError{Path: "id", Reason: fmt.Sprintf("%d belongs to service %s", s.ID, other.Name)}
@@ -173,8 +198,8 @@
 	return nil
 }
 
-// Parse returns the checked value of an object: *Service, *Zone or
-// *keyring.Ring. Other kinds give nil.
+// Parse returns the checked value of an object: *Service, *Zone,
+// *keyring.Ring, *Routes, *Pool or *ZoneOut. Other kinds give nil.
 func Parse(o *Object) (any, error) {
 	switch o.Kind {
 	case KindService:
@@ -183,6 +208,15 @@
 	case KindZone:
 		z := &Zone{}
 		return parseNamed(o, z, func() string { return z.Name })
+	case KindRoutes:
+		r := &Routes{}
+		return r, Decode(o.Value, r)
+	case KindPool:
+		p := &Pool{}
+		return parseNamed(o, p, func() string { return p.Name })
+	case KindZoneOut:
+		z := &ZoneOut{}
+		return parseNamed(o, z, func() string { return z.Name })
 	case KindKeys:
 		k := &Keys{}
 		if err := Decode(o.Value, k); err != nil {
--- /dev/null
+++ b/internal/config/routes.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// RoutesName is the name of the single object of KindRoutes.
+const RoutesName = "main"
+
+// Routes say which services take the passed-through flows of each address.
+type Routes struct {
+	Version uint64  `json:"version" validate:"required"`
+	Routes  []Route `json:"routes" validate:"unique=Address,dive"`
+	// IdleMillis is the time after which a flow without packets may be
+	// forgotten.
+	IdleMillis int `json:"idleMillis" validate:"min=1,max=86400000"`
+}
+
+// Route is one address that callers use.
+type Route struct {
+	Name    string         `json:"name" validate:"max=256"`
+	Address netip.AddrPort `json:"address" validate:"required,hostport4"`
+	// Choices are the services that new flows are divided over.
+	Choices []Choice `json:"choices" validate:"required,min=1,max=64,dive"`
+}
+
+// Choice is one service of a route with its share of the new flows.
+type Choice struct {
+	Service string `json:"service" validate:"required,max=256"`
+	Weight  int    `json:"weight" validate:"min=0,max=1000000"`
+}
+
+// Pool states what the upstreams of a service of passed-through flows bear.
+type Pool struct {
+	Name        string `json:"name" validate:"required,max=256"`
+	Connections int    `json:"connections" validate:"min=0,max=10000000"`
+	// ColdPerSecond is the number of requests a second that an upstream in cold
+	// start bears; 0 states no bound.
+	ColdPerSecond float64 `json:"coldPerSecond" validate:"gte=0"`
+	// IdleMillis is the time after which a flow without packets may be
+	// forgotten.
+	IdleMillis int `json:"idleMillis" validate:"min=1,max=86400000"`
+}
+
+// ZoneOut is an availability zone that operators took out of service.
+type ZoneOut struct {
+	Name string `json:"name" validate:"required,max=256"`
+}
+
+// Idle returns the time after which a silent flow may be forgotten.
+func (r *Routes) Idle() time.Duration { return time.Duration(r.IdleMillis) * time.Millisecond }
+
+// ServiceTag condenses the name of a service for records and datagrams.
+func ServiceTag(name string) uint32 { return uint32(xxhash.Sum64String(name)) | 1 }
+
+// ServiceID is the part of the tag that a membership record holds. Two services
+// may share it, so the agent compares the whole tag.
+func ServiceID(name string) uint16 { return uint16(ServiceTag(name)) }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,11 +1,16 @@
 package config
 
 import (
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-json-experiment/json"
 
+	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/wire"
 )
 
@@ -69,3 +74,129 @@
 	}
 	return Decode(data, v)
 }
+
+// TransportPassthrough is the transport of settings for passed-through flows.
+const TransportPassthrough = "passthrough"
+
+// Transport returns the transport that a settings file names, empty for the
+// default, HTTP/3.
+func Transport(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "read settings")
+	}
+	var v struct {
+		Transport string `json:"transport"`
+	}
+	// What else is wrong with the file is reported when all of it is decoded.
+	if err := json.Unmarshal(data, &v); err != nil {
+		return "", nil //nolint:nilerr // see above
+	}
+	return v.Transport, nil
+}
+
+// Passthrough are the settings that entries and agents of passed-through flows
+// share.
+type Passthrough struct {
+	Transport string `json:"transport" validate:"required,eq=passthrough"`
+	// Zone is the name of the own availability zone.
+	Zone string `json:"zone" validate:"required,max=256"`
+	// Zones are all availability zones with their regions. All instances have
+	// the same.
+	Zones map[string]string `json:"zones" validate:"required,min=1,max=255"`
+	// Data is the UDP address for datagrams between entries and agents.
+	Data netip.AddrPort `json:"data" validate:"required,hostport4"`
+	// Control is the UDP address for membership and the TCP address for
+	// jsonrpc2.
+	Control netip.AddrPort `json:"control" validate:"required,hostport4"`
+	// Metrics is the TCP address for /metrics and /healthz.
+	Metrics netip.AddrPort `json:"metrics" validate:"required,hostport"`
+	// Ready is the TCP address of the platform's readiness check.
+	Ready netip.AddrPort `json:"ready" validate:"required,hostport"`
+	// Store is the URL of the platform's object API.
+	Store string `json:"store" validate:"required,url"`
+	// Seeds name instances with an entry. Their ports are not used: the port of
+	// Control is the same everywhere.
+	Seeds []netip.AddrPort `json:"seeds,omitempty" validate:"dive,hostport4"`
+	// Secret signs datagrams between instances, 32 bytes in hexadecimal. All
+	// instances have the same.
+	Secret string `json:"secret" validate:"required,len=64,hexadecimal"`
+	// CallerPortOf gives by its port the UDP port of callers' addresses to which
+	// answers go.
+	CallerPortOf netip.AddrPort `json:"callerPortOf" validate:"required,hostport4"`
+	// FlowMaxSeconds is the age after which a flow may be forgotten.
+	FlowMaxSeconds float64 `json:"flowMaxSeconds" validate:"gt=0,lte=86400"`
+	// GraceSeconds is the time from the signal to stop until the process is
+	// killed.
+	GraceSeconds float64 `json:"graceSeconds" validate:"gt=0,lte=3600"`
+}
+
+// PassthroughEntry are the settings of crocus-entry for passed-through flows.
+type PassthroughEntry struct {
+	Passthrough
+	// Fabric is the UDP address where packets of callers arrive.
+	Fabric netip.AddrPort `json:"fabric" validate:"required,hostport4"`
+}
+
+// PassthroughAgent are the settings of crocus-agent for passed-through flows.
+type PassthroughAgent struct {
+	Passthrough
+	// Service is the name of the upstream's service.
+	Service string `json:"service" validate:"required,max=256"`
+	// Upstream is the UDP address where the upstream takes packets.
+	Upstream netip.AddrPort `json:"upstream" validate:"required,hostport4"`
+	// Outbound is the UDP address to which the upstream sends packets.
+	Outbound netip.AddrPort `json:"outbound" validate:"required,hostport4"`
+	// Announce is the TCP address where the upstream announces itself.
+	Announce netip.AddrPort `json:"announce" validate:"required,hostport4"`
+	// AnnounceMillis is the time between two announcements.
+	AnnounceMillis int `json:"announceMillis" validate:"min=1,max=60000"`
+}
+
+// ZoneID returns the number of a zone in membership records: its place among
+// the names of all zones, from 1. It is 0 for an unknown zone.
+func (p *Passthrough) ZoneID(name string) uint8 {
+	for i, z := range p.zoneNames() {
+		if z == name {
+			return uint8(i + 1)
+		}
+	}
+	return 0
+}
+
+// ZoneName returns the zone with the number.
+func (p *Passthrough) ZoneName(id uint8) string {
+	names := p.zoneNames()
+	if id == 0 || int(id) > len(names) {
+		return ""
+	}
+	return names[id-1]
+}
+
+func (p *Passthrough) zoneNames() []string { return slices.Sorted(maps.Keys(p.Zones)) }
+
+// Peers returns the control addresses of the seeds.
+func (p *Passthrough) Peers() []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(p.Seeds))
+	for _, s := range p.Seeds {
+		out = append(out, netip.AddrPortFrom(s.Addr(), p.Control.Port()))
+	}
+	return out
+}
+
+// Ring returns the keys that the secret makes.
+func (p *Passthrough) Ring() (*keyring.Ring, error) {
+	k := Keys{Signing: 1, Generations: []Generation{{ID: 1, Secret: p.Secret}}}
+	return k.Ring()
+}
+
+// CallerPort returns the UDP port of callers to which answers go.
+func (p *Passthrough) CallerPort() uint16 { return p.CallerPortOf.Port() }
+
+// FlowMax returns the age after which a flow may be forgotten.
+func (p *Passthrough) FlowMax() time.Duration { return seconds(p.FlowMaxSeconds) }
+
+// Grace returns the time that a stop may take.
+func (p *Passthrough) Grace() time.Duration { return seconds(p.GraceSeconds) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -41,39 +42,66 @@
 	Name        string
 	Description string
 	Version     string
-	Role        string          // in the log
-	Settings    any             // pointer to the settings, filled from the file
-	Shared      *config.Process // the part of Settings that all programs have
+	Role        string // in the log
+	// Transport is the value of that key in the settings that the program
+	// serves; empty for HTTP/3.
+	Transport string
+	Settings  any // pointer to the settings, filled from the file
+	// Addresses returns the data address, which names the process in the log,
+	// and the metrics address of the settings.
+	Addresses func() (data, metrics netip.AddrPort)
 	// Load reads the files that the settings name. It opens no socket.
 	Load func() error
 	// New opens the process's sockets.
 	New func(log *slog.Logger, r *prometheus.Registry) (Process, error)
 }
 
-// Main runs the program with the process's arguments and returns its exit
-// code.
-func (p *Program) Main() int {
-	path := p.Name + ".json"
+// Main runs the program that serves the transport of the settings, with the
+// process's arguments, and returns its exit code. All programs have the same
+// name.
+func Main(programs ...*Program) int {
+	path := programs[0].Name + ".json"
 	check := false
-	if err := p.parse(&path, &check); err != nil {
+	if err := programs[0].parse(&path, &check); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitInvalid
 	}
-	if err := p.load(path); err != nil {
+	p, err := choose(path, programs)
+	if err == nil {
+		err = p.load(path)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitInvalid
 	}
 	if check {
 		return 0
 	}
-	log := telemetry.NewLogger(os.Stdout, p.Role, p.Shared.Data.String())
-	if err := p.serve(log); err != nil {
+	data, _ := p.Addresses()
+	log := telemetry.NewBoundedLogger(os.Stdout, p.Role, data.String())
+	log.Info("started", "program", p.Name, "version", p.Version, "transport", p.Transport, "settings", path)
+	if err := p.serve(log, path); err != nil {
 		log.Error("stopped", "error", err.Error())
 		return ExitFailed
 	}
+	log.Info("stopped")
 	return 0
 }
 
+// choose returns the program for the transport that the settings name.
+func choose(path string, programs []*Program) (*Program, error) {
+	transport, err := config.Transport(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range programs {
+		if p.Transport == transport {
+			return p, nil
+		}
+	}
+	return nil, config.FieldError{Path: "transport", Reason: fmt.Sprintf("%q is not known", transport)}
+}
+
 func (p *Program) parse(path *string, check *bool) error {
 	f := flaggy.NewParser(p.Name)
 	f.Description = p.Description
@@ -90,9 +118,10 @@
 	return p.Load()
 }
 
-func (p *Program) serve(log *slog.Logger) error {
+func (p *Program) serve(log *slog.Logger, path string) error {
 	registry := telemetry.NewRegistry()
-	metrics, err := net.Listen("tcp", p.Shared.Metrics.String())
+	_, address := p.Addresses()
+	metrics, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return errors.Wrap(err, "open metrics socket")
 	}
@@ -102,6 +131,7 @@
 		return err
 	}
 	defer stopOnSignal(process)()
+	defer p.watchSettings(log, path)()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -145,7 +145,7 @@
 	select {
 	case a := <-done:
 		b, err := encodePage(a.page)
-		return wire.SnapshotResult{Page: b, Next: a.next}, err
+		return wire.SnapshotResult{Page: b, Next: a.next, AgeMillis: n.ageMillis()}, err
 	case <-n.stopped:
 		return wire.SnapshotResult{}, errStopped
 	case <-ctx.Done():
@@ -153,6 +153,16 @@
 	}
 }
 
+// ageMillis returns how long ago the objects were the store's latest, -1 when
+// that is not known.
+func (n *Node) ageMillis() int64 {
+	at := n.Fresh()
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
 func encodePage(p page) ([]byte, error) {
 	var b bytes.Buffer
 	z := gzip.NewWriter(&b)
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -31,22 +31,23 @@
 // entries and seeds first, then the rosters in the store.
 func (n *Node) joinLoop(ctx context.Context, r *rand.Rand) error {
 	n.lonely.Store(true)
-	backoff, failed := joinBackoffMin, 0
+	shortest := n.opts.Joining.BackoffMin
+	backoff, failed := shortest, 0
 	for ctx.Err() == nil {
 		if !n.lonely.Load() && n.Config().Keys != nil {
-			backoff = joinBackoffMin
+			backoff = shortest
 			sleep(ctx, joinPoll)
 			continue
 		}
 		if n.join(ctx, r, failed) {
 			n.metrics.joins.WithLabelValues("found").Inc()
-			backoff, failed = joinBackoffMin, 0
+			backoff, failed = shortest, 0
 		} else {
 			failed++
 			n.metrics.joins.WithLabelValues("none").Inc()
 		}
 		sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
-		backoff = min(2*backoff, joinBackoffMax)
+		backoff = min(2*backoff, n.opts.Joining.BackoffMax)
 	}
 	return nil
 }
@@ -129,7 +130,7 @@
 }
 
 func (n *Node) takePage(ctx context.Context, from netip.AddrPort, params wire.SnapshotParams) (next int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.opts.Joining.Timeout)
 	defer cancel()
 	var result wire.SnapshotResult
 	if err := n.opts.Call(ctx, from, wire.MethodSnapshot, params, &result); err != nil {
@@ -140,6 +141,9 @@
 		return 0, err
 	}
 	n.learn(page.Records, page.Objects)
+	if result.Next == 0 && result.AgeMillis >= 0 {
+		n.verified(time.Now().Add(-time.Duration(result.AgeMillis) * time.Millisecond))
+	}
 	return result.Next, nil
 }
 
@@ -173,10 +177,12 @@
 func (n *Node) readConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	list, err := n.opts.Store.List(ctx, configKinds...)
+	at := time.Now()
+	list, err := n.opts.Store.List(ctx, n.opts.Reading.Kinds...)
 	n.noteStore("config", err)
 	if err == nil {
 		n.learn(nil, list.Objects)
+		n.verified(at)
 	}
 }
 
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -33,6 +33,7 @@
 			n.core.Tick(now)
 			n.lonely.Store(n.core.Lonely(now))
 		}
+		n.publishFresh()
 		n.act(time.Now())
 	}
 }
@@ -96,12 +97,29 @@
 	n.notify()
 }
 
+// withKeys adds the fixed keys to a configuration.
+func (n *Node) withKeys(fleet *config.Fleet) *config.Fleet {
+	if n.opts.Keys != nil {
+		fleet.Keys = n.opts.Keys
+	}
+	return fleet
+}
+
+func (n *Node) publishFresh() {
+	at := n.core.Fresh()
+	if at.IsZero() {
+		n.fresh.Store(0)
+		return
+	}
+	n.fresh.Store(max(1, int64(at.Sub(n.started))))
+}
+
 // rebuildConfig puts the valid objects in force.
 func (n *Node) rebuildConfig(now time.Time) {
 	valid, problems := n.core.Objects()
 	fleet, more := n.builder.Build(valid)
 	problems = append(problems, more...)
-	before := n.config.Swap(fleet)
+	before := n.config.Swap(n.withKeys(fleet))
 	known := n.problems.Swap(&problems)
 	for _, p := range problems {
 		if !slices.ContainsFunc(*known, func(k config.Problem) bool { return k.ID == p.ID && k.Revision == p.Revision }) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -18,6 +18,7 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
+	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/platform"
 	"crocusnotch/internal/wire"
@@ -56,6 +57,27 @@
 	Call     CallFunc          // optional, default: wire.Call over TLS
 	Rand     *rand.Rand        // optional
 	Timing   membership.Timing // optional
+	Keys     *keyring.Ring     // optional: fixed keys in place of those of the store
+	Reading  Reading           // optional
+	Joining  Joining           // optional
+}
+
+// Reading says how entries follow the store.
+type Reading struct {
+	Kinds    []string      // kinds of the configuration
+	Watchers int           // entries of a region that watch the store
+	Wait     time.Duration // bound of a waiting watch
+	First    time.Duration // at least, from the start to the first read
+	// Stale is the age of the configuration above which an entry that does not
+	// watch reads the store itself; 0 leaves it to the watchers.
+	Stale time.Duration
+}
+
+// Joining bounds the search for peers.
+type Joining struct {
+	Timeout    time.Duration // of one snapshot
+	BackoffMin time.Duration // between two searches
+	BackoffMax time.Duration
 }
 
 // Node is the part of the fleet that runs in one process. Its methods are safe
@@ -87,7 +109,9 @@
 	self     atomic.Pointer[membership.Record]
 	follow   atomic.Pointer[string]
 	lonely   atomic.Bool
-	store    atomic.Bool // the last call to the store was answered
+	store    atomic.Bool  // the last call to the store was answered
+	fresh    atomic.Int64 // nanoseconds after started at which the objects were the store's latest, 0: not known
+	started  time.Time
 	status   atomic.Pointer[func(*wire.Status)]
 	bytesIn  atomic.Uint64
 	bytesOut atomic.Uint64
@@ -101,6 +125,7 @@
 	o = withDefaults(o)
 	n := &Node{
 		opts:     o,
+		started:  time.Now(),
 		conn:     o.Conn,
 		listener: o.Listener,
 		metrics:  newMetrics(o.Registry),
@@ -112,7 +137,7 @@
 	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing})
 	n.builder = config.NewBuilder()
 	n.fetching = map[config.ID]bool{}
-	n.config.Store(config.Empty())
+	n.config.Store(n.withKeys(config.Empty()))
 	n.problems.Store(&[]config.Problem{})
 	n.members.Store(&[]membership.Record{})
 	self := n.core.Self()
@@ -137,6 +162,8 @@
 	if o.Timing == (membership.Timing{}) {
 		o.Timing = membership.DefaultTiming()
 	}
+	o.Reading = o.Reading.withDefaults()
+	o.Joining = o.Joining.withDefaults()
 	if o.Call == nil {
 		material := o.TLS
 		o.Call = func(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
@@ -146,6 +173,35 @@
 	return o
 }
 
+func (r Reading) withDefaults() Reading {
+	if len(r.Kinds) == 0 {
+		r.Kinds = configKinds
+	}
+	if r.Watchers == 0 {
+		r.Watchers = watchersPerRegion
+	}
+	if r.Wait == 0 {
+		r.Wait = watchWait
+	}
+	if r.First == 0 {
+		r.First = watchFirst
+	}
+	return r
+}
+
+func (j Joining) withDefaults() Joining {
+	if j.Timeout == 0 {
+		j.Timeout = snapshotTimeout
+	}
+	if j.BackoffMin == 0 {
+		j.BackoffMin = joinBackoffMin
+	}
+	if j.BackoffMax == 0 {
+		j.BackoffMax = joinBackoffMax
+	}
+	return j
+}
+
 func childRand(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
 
 func (n *Node) open() error {
@@ -203,6 +259,16 @@
 // ConfigProblems returns the objects that were refused.
 func (n *Node) ConfigProblems() []config.Problem { return *n.problems.Load() }
 
+// Fresh returns the last time at which the configuration in force was known to
+// be the store's latest; zero when that was never known.
+func (n *Node) Fresh() time.Time {
+	at := n.fresh.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return n.started.Add(time.Duration(at))
+}
+
 // Members returns the records that are not final, the own one excepted. The
 // slice must not be changed.
 func (n *Node) Members() []membership.Record { return *n.members.Load() }
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -20,6 +20,8 @@
 	watchersPerRegion = 2
 	watchWait         = 20 * time.Second
 	watchPoll         = time.Second
+	stalePoll         = 50 * time.Millisecond
+	staleSpread       = 6 // polls over which entries with an old configuration spread their reads
 	watchFirst        = 1500 * time.Millisecond
 	watchBackoffMin   = 250 * time.Millisecond
 	watchBackoffMax   = 10 * time.Second
@@ -35,16 +37,20 @@
 func (n *Node) watchLoop(ctx context.Context, r *rand.Rand) error {
 	// When all entries start at once each one ranks first until it has met
 	// others.
-	sleep(ctx, watchFirst+time.Duration(r.Int64N(int64(watchFirst))))
+	first := n.opts.Reading.First
+	sleep(ctx, first+time.Duration(r.Int64N(int64(first))))
 	from := uint64(0)
 	backoff := watchBackoffMin
 	for ctx.Err() == nil {
-		if !n.isWatcher() {
-			from = 0
-			sleep(ctx, watchPoll)
+		wait, due := n.readDue(r)
+		if !due {
+			if n.opts.Reading.Stale == 0 {
+				from = 0
+			}
+			sleep(ctx, n.readPoll())
 			continue
 		}
-		next, err := n.watchOnce(ctx, from)
+		next, err := n.watchOnce(ctx, from, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -61,17 +67,51 @@
 	return nil
 }
 
+// readDue reports whether this entry reads the store now, and how long the call
+// may wait for a change. A watcher always does. Another entry does when its
+// configuration has not been verified for a while, at a random moment, so that
+// the first one's report spares the others their call.
+func (n *Node) readDue(r *rand.Rand) (wait time.Duration, due bool) {
+	if n.isWatcher() {
+		return n.opts.Reading.Wait, true
+	}
+	stale := n.opts.Reading.Stale
+	if stale == 0 {
+		return 0, false
+	}
+	age := time.Since(n.Fresh())
+	return 0, age > stale+time.Duration(r.Int64N(int64(stalePoll*staleSpread)))
+}
+
+// readPoll is the pause before readDue is asked again.
+func (n *Node) readPoll() time.Duration {
+	if n.opts.Reading.Stale == 0 {
+		return watchPoll
+	}
+	return stalePoll
+}
+
+// verified tells the core that the objects were read at the time at.
+func (n *Node) verified(at time.Time) {
+	n.command(func(now time.Time) { n.core.Verified(now, at) })
+}
+
 // watchOnce makes one call to the store: a list at first, then a watch.
-func (n *Node) watchOnce(ctx context.Context, from uint64) (next uint64, err error) {
+func (n *Node) watchOnce(ctx context.Context, from uint64, wait time.Duration) (next uint64, err error) {
 	if from == 0 {
 		return n.listConfig(ctx)
 	}
-	got, err := n.opts.Store.Watch(ctx, from, watchWait, configKinds...)
+	got, err := n.opts.Store.Watch(ctx, from, wait, n.opts.Reading.Kinds...)
 	n.noteStore("watch", ignoreCompacted(err))
 	if err != nil {
 		return from, err
 	}
+	if got.Incomplete {
+		return n.listConfig(ctx)
+	}
+	at := time.Now()
 	n.learn(nil, got.Objects)
+	n.verified(at)
 	return max(from, got.Revision), nil
 }
 
@@ -85,7 +125,8 @@
 // listConfig learns all objects. A known object that is not listed was deleted
 // at the latest at the revision of the list.
 func (n *Node) listConfig(ctx context.Context) (next uint64, err error) {
-	list, err := n.opts.Store.List(ctx, configKinds...)
+	at := time.Now()
+	list, err := n.opts.Store.List(ctx, n.opts.Reading.Kinds...)
 	n.noteStore("list", err)
 	if err != nil {
 		return 0, err
@@ -103,6 +144,7 @@
 			}
 		}
 		n.core.Learn(now, nil, list.Objects)
+		n.core.Verified(now, at)
 	})
 	return list.Revision, nil
 }
@@ -121,7 +163,7 @@
 			better++
 		}
 	}
-	return better < watchersPerRegion
+	return better < n.opts.Reading.Watchers
 }
 
 func score(name string, a netip.AddrPort) uint64 { return xxhash.Sum64String(name + " " + a.String()) }
--- /dev/null
+++ b/internal/flow/homes.go
@@ -0,0 +1,44 @@
+package flow
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// HomeCount is the number of entries that keep the owner of each flow, besides
+// the entry that serves it.
+const HomeCount = 2
+
+// Homes are the entries that know the owner of a flow, the first choice first.
+type Homes [HomeCount]End
+
+// Has reports whether the entry is one of the homes.
+func (h Homes) Has(e End) bool { return h[0] == e || h[1] == e }
+
+// HomesOf returns the entries that rank first for the flow by rendezvous
+// hashing. The choice depends on nothing but the set of entries.
+func HomesOf(k Key, entries []End) Homes {
+	var h Homes
+	var best [HomeCount]uint64
+	hash := k.Hash()
+	for _, e := range entries {
+		s := rank(hash, e)
+		switch {
+		case h[0].IsZero() || s > best[0]:
+			h[1], best[1] = h[0], best[0]
+			h[0], best[0] = e, s
+		case h[1].IsZero() || s > best[1]:
+			h[1], best[1] = e, s
+		}
+	}
+	return h
+}
+
+// rank scores an end for a flow or another subject with the hash.
+func rank(hash uint64, e End) uint64 {
+	var b [8 + endSize]byte
+	binary.LittleEndian.PutUint64(b[:], hash)
+	copy(b[8:], e[:])
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/internal/flow/placement.go
@@ -0,0 +1,155 @@
+package flow
+
+import (
+	"math"
+	"time"
+
+	"crocusnotch/internal/config"
+)
+
+const (
+	// otherZone multiplies the load of an agent in another zone: one hop to
+	// another zone costs less than a slot that is busy by more than this.
+	otherZone = 1.15
+	// openingLoad is what a flow that was placed since the last report counts,
+	// in busy slots.
+	openingLoad = 0.3
+	// baseLoad keeps the ratio of idle agents meaningful, in busy slots.
+	baseLoad = 0.5
+	// reportLife is the age at which a report of load says nothing any more.
+	reportLife = 3 * time.Second
+	// avoidFor is how long an agent that did not answer an opening is passed
+	// over while others can take it.
+	avoidFor = time.Second
+)
+
+// Agent is an agent that may take new flows.
+type Agent struct {
+	Addr    End
+	Zone    string
+	Slots   int
+	Cold    bool
+	Suspect bool // its watchers get no answer
+}
+
+// Load is what an agent reports of its upstream.
+type Load struct {
+	Busy  float64 // requests without an answer, averaged
+	Flows int
+}
+
+// agentLoad is what an entry knows of an agent's load.
+type agentLoad struct {
+	report   Load
+	at       time.Time
+	openings int // flows placed since the report
+	avoid    time.Time
+}
+
+// Placement chooses agents for new flows. It keeps the reported loads.
+type Placement struct {
+	zone  string
+	loads map[End]*agentLoad
+}
+
+// NewPlacement returns a placement for an entry in the zone.
+func NewPlacement(zone string) *Placement {
+	return &Placement{zone: zone, loads: map[End]*agentLoad{}}
+}
+
+// Report takes an agent's load.
+func (p *Placement) Report(now time.Time, agent End, l Load) {
+	a := p.load(agent)
+	a.report, a.at, a.openings = l, now, 0
+}
+
+// Avoid notes that the agent did not answer an opening.
+func (p *Placement) Avoid(now time.Time, agent End) { p.load(agent).avoid = now.Add(avoidFor) }
+
+func (p *Placement) load(agent End) *agentLoad {
+	a := p.loads[agent]
+	if a == nil {
+		a = &agentLoad{}
+		p.loads[agent] = a
+	}
+	return a
+}
+
+// Choose returns the agent with the lowest load among those not tried before,
+// and counts the flow to it. Suspect agents and those that did not answer are
+// used only when no others are left. ok is false when all were tried.
+func (p *Placement) Choose(now time.Time, k Key, agents []Agent, tried []End) (agent Agent, ok bool) {
+	best, lowest := -1, math.Inf(1)
+	hash := k.Hash()
+	for i := range agents {
+		if contains(tried, agents[i].Addr) {
+			continue
+		}
+		score := p.score(now, &agents[i], hash)
+		if score < lowest {
+			best, lowest = i, score
+		}
+	}
+	if best < 0 {
+		return Agent{}, false
+	}
+	p.load(agents[best].Addr).openings++
+	return agents[best], true
+}
+
+// lastResort is above every score of an agent that is not avoided.
+const lastResort = 1e6
+
+func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
+	l := p.load(a.Addr)
+	busy := baseLoad + openingLoad*float64(l.openings)
+	if now.Sub(l.at) < reportLife {
+		busy += l.report.Busy
+	}
+	// Entries with the same reports choose differently for different flows.
+	spread := 1 + float64(rank(hash, a.Addr)%256)/256*choiceSpread
+	score := busy / float64(max(a.Slots, 1)) * spread
+	if a.Zone != p.zone {
+		score *= otherZone
+	}
+	if a.Suspect || now.Before(l.avoid) {
+		score += lastResort
+	}
+	return score
+}
+
+// choiceSpread is the random part of a score, so that entries with the same
+// reports do not all choose the same agent.
+const choiceSpread = 0.3
+
+func contains(list []End, e End) bool {
+	for _, x := range list {
+		if x == e {
+			return true
+		}
+	}
+	return false
+}
+
+// ServiceOf returns the service of a new flow. Every entry with the same
+// configuration chooses the same one.
+func ServiceOf(r *config.Route, k Key) string {
+	if len(r.Choices) == 1 {
+		return r.Choices[0].Service
+	}
+	total := 0
+	for _, c := range r.Choices {
+		total += c.Weight
+	}
+	if total == 0 {
+		return r.Choices[0].Service
+	}
+	point := int(k.Hash() % uint64(total))
+	for _, c := range r.Choices {
+		point -= c.Weight
+		if point < 0 {
+			return c.Service
+		}
+	}
+	return r.Choices[len(r.Choices)-1].Service
+}
--- /dev/null
+++ b/internal/flow/upstream.go
@@ -0,0 +1,102 @@
+package flow
+
+import (
+	"time"
+)
+
+// Announcement is what an upstream says of itself to the agent beside it.
+type Announcement struct {
+	ID       string
+	Born     int64 // start of the upstream, Unix milliseconds
+	Sequence int64 // rises with each announcement of one start
+	Service  string
+	Zone     string
+	Slots    int
+	Leaving  bool
+	Gone     bool          // it has ended
+	ColdLeft time.Duration // how much longer it is in cold start
+}
+
+// Upstream is the state of the upstream beside an agent, as announced.
+type Upstream struct {
+	last      Announcement
+	known     bool
+	coldUntil time.Time
+	heard     time.Time
+}
+
+// Verdict on an announcement.
+type Announced string
+
+// Verdicts on announcements.
+const (
+	AnnouncedTaken   Announced = "taken"
+	AnnouncedChanged Announced = "changed"
+	AnnouncedLate    Announced = "late" // overtaken by a later one or by a later start
+)
+
+// Announce takes an announcement unless a later one is known.
+func (u *Upstream) Announce(now time.Time, a Announcement) Announced {
+	if u.known {
+		if a.Born < u.last.Born {
+			return AnnouncedLate
+		}
+		if a.Born == u.last.Born && a.ID == u.last.ID && !a.Gone && a.Sequence <= u.last.Sequence {
+			return AnnouncedLate
+		}
+		if a.Gone && a.ID != u.last.ID {
+			return AnnouncedLate
+		}
+	}
+	if a.Gone {
+		gone := u.last
+		gone.ID, gone.Gone = a.ID, true
+		a = gone
+	}
+	before := *u
+	u.last, u.known, u.heard = a, true, now
+	u.coldUntil = now.Add(a.ColdLeft)
+	if !before.known || before.state(now) != u.state(now) || before.last.Born != a.Born || before.last.ID != a.ID {
+		return AnnouncedChanged
+	}
+	return AnnouncedTaken
+}
+
+// UpstreamState is the condition of an upstream.
+type UpstreamState string
+
+// Conditions of an upstream.
+const (
+	UpstreamAbsent  UpstreamState = "absent" // unknown, ended or silent
+	UpstreamWarm    UpstreamState = "warm"
+	UpstreamCold    UpstreamState = "cold"
+	UpstreamLeaving UpstreamState = "leaving"
+)
+
+func (u *Upstream) state(now time.Time) UpstreamState {
+	switch {
+	case !u.known || u.last.Gone:
+		return UpstreamAbsent
+	case u.last.Leaving:
+		return UpstreamLeaving
+	case now.Before(u.coldUntil):
+		return UpstreamCold
+	}
+	return UpstreamWarm
+}
+
+// State returns the upstream's condition; one that has been silent for longer
+// than the limit is absent.
+func (u *Upstream) State(now time.Time, silence time.Duration) UpstreamState {
+	s := u.state(now)
+	if s != UpstreamAbsent && now.Sub(u.heard) > silence {
+		return UpstreamAbsent
+	}
+	return s
+}
+
+// Last returns the last announcement.
+func (u *Upstream) Last() Announcement { return u.last }
+
+// Heard returns when the last announcement came.
+func (u *Upstream) Heard() time.Time { return u.heard }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -110,6 +110,7 @@
 	spread spreadState
 	probes probeState
 	repair repairState
+	fresh  freshState
 }
 
 // New returns the state machine of one process.
@@ -242,6 +243,7 @@
 	}
 	clear(c.probes.pending)
 	c.heard = c.heard.Add(gap)
+	c.fresh.at = time.Time{}
 	c.repair.next = now
 }
 
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -166,9 +166,14 @@
 }
 
 // inScope reports whether an agent needs the object: zones and keys, and its
-// own service; every service while the agent has named none.
+// own service or pool; every service while the agent has named none. Only
+// entries need the routes.
 func (c *Core) inScope(o *object, service uint16, follow string) bool {
-	if o.latest.Kind != config.KindService {
+	switch o.latest.Kind {
+	case config.KindRoutes:
+		return false
+	case config.KindService, config.KindPool:
+	default:
 		return true
 	}
 	if follow != "" {
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -30,16 +30,17 @@
 
 // Kinds of messages.
 const (
-	KindHeartbeat   Kind = 1 // agent to a watching entry, carries its record
-	KindReply       Kind = 2 // entry to agent, carries what changed for it
-	KindPush        Kind = 3 // changed records and objects
-	KindPing        Kind = 4 // probe, carries the sender's view of the target when it is not alive
-	KindAck         Kind = 5 // answer to a probe, carries the target's record
-	KindPingRequest Kind = 6 // asks an entry to probe Target
-	KindDigest      Kind = 7 // hashes of all buckets of one table
-	KindListing     Kind = 8 // the items of one bucket
-	KindWant        Kind = 9 // asks for items of one bucket
-	kindEnd         Kind = 10
+	KindHeartbeat   Kind = 1  // agent to a watching entry, carries its record
+	KindReply       Kind = 2  // entry to agent, carries what changed for it
+	KindPush        Kind = 3  // changed records and objects
+	KindPing        Kind = 4  // probe, carries the sender's view of the target when it is not alive
+	KindAck         Kind = 5  // answer to a probe, carries the target's record
+	KindPingRequest Kind = 6  // asks an entry to probe Target
+	KindDigest      Kind = 7  // hashes of all buckets of one table
+	KindListing     Kind = 8  // the items of one bucket
+	KindWant        Kind = 9  // asks for items of one bucket
+	KindFresh       Kind = 10 // how long ago the objects were the store's latest
+	kindEnd         Kind = 11
 )
 
 // TableID names a table in messages of repair.
@@ -71,6 +72,7 @@
 	Repair   bool            `cbor:"16,keyasint,omitempty"` // the records may be old
 	Verdicts []byte          `cbor:"18,keyasint,omitempty"` // packed verdicts
 	Partial  bool            `cbor:"17,keyasint,omitempty"` // a listing of a part of the bucket
+	Age      uint32          `cbor:"19,keyasint,omitempty"` // KindFresh: milliseconds
 }
 
 // Stub announces an object too large for a datagram; the receiver fetches it.
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -31,6 +31,8 @@
 		c.receiveListing(now, m)
 	case KindWant:
 		c.receiveWant(now, m)
+	case KindFresh:
+		c.receiveFresh(now, m)
 	}
 	c.mergeMessage(now, m)
 }
--- /dev/null
+++ b/internal/passthrough/agent.go
@@ -0,0 +1,291 @@
+package passthrough
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/keyring"
+	"crocusnotch/internal/membership"
+)
+
+const (
+	// silentPeriods is the number of missed announcements after which an
+	// upstream is taken for gone.
+	silentPeriods = 3
+	// agentDrain bounds the wait of a stopping agent for a moment without an
+	// open request.
+	agentDrain = 3 * time.Second
+	// idlePoll is the time between two looks for such a moment.
+	idlePoll = 2 * time.Millisecond
+)
+
+// Agent carries packets between entries, callers and the upstream beside it.
+type Agent struct {
+	settings config.PassthroughAgent
+	deps     Deps
+	fleet    Fleet
+	keys     *keyring.Ring
+	data     PacketConn
+	outbound PacketConn
+	counters *counters
+
+	mu      sync.Mutex // guards what follows
+	keeper  *Keeper
+	scratch []byte
+	entry   flow.End // some entry, for flows that no entry has shown
+	shown   membership.Record
+
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// NewAgent opens the sockets of an agent.
+func NewAgent(s config.PassthroughAgent, d Deps) (*Agent, error) {
+	keys, err := s.Ring()
+	if err != nil {
+		return nil, errors.Wrap(err, "secret")
+	}
+	a := &Agent{settings: s, deps: d, keys: keys, stop: make(chan struct{})}
+	a.counters = newCounters(d.Registry)
+	started := time.Now()
+	a.keeper = NewKeeper(KeeperOptions{
+		Service: s.Service,
+		Started: started,
+		MaxAge:  s.FlowMax(),
+		Silence: silentPeriods * time.Duration(s.AnnounceMillis) * time.Millisecond,
+		Codec:   d.Codec,
+		Out:     a,
+		Observe: a.counters.observer(d.Log, started),
+	})
+	if a.data, err = d.listen(s.Data); err != nil {
+		return nil, err
+	}
+	if a.outbound, err = d.listen(s.Outbound); err != nil {
+		return nil, errors.Join(err, a.data.Close())
+	}
+	a.shown = membership.Record{
+		Role: membership.RoleAgent, State: membership.StateDraining, Service: config.ServiceID(s.Service),
+	}
+	if a.fleet, err = newNode(&s.Passthrough, a.shown, &d); err != nil {
+		return nil, errors.Join(err, a.data.Close(), a.outbound.Close())
+	}
+	a.fleet.Follow(s.Service)
+	return a, nil
+}
+
+// Stop starts a graceful stop.
+func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
+
+// Health reports whether the agent has an upstream and takes new flows.
+func (a *Agent) Health() (ok bool, reason string) {
+	select {
+	case <-a.stop:
+		return false, "draining"
+	default:
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if s := a.keeper.State(time.Now()); s == flow.UpstreamAbsent || s == flow.UpstreamLeaving {
+		return false, "upstream " + string(s)
+	}
+	return true, ""
+}
+
+// Run carries packets until ctx ends or a graceful stop is done.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return a.fleet.Run(ctx) })
+	g.Go(func() error { return a.follow(ctx) })
+	g.Go(func() error { return receive(a.data, a.readFailed, a.fromEntry) })
+	g.Go(func() error { return receive(a.outbound, a.readFailed, a.fromUpstream) })
+	g.Go(func() error { return every(ctx, tickPeriod, a.tick) })
+	g.Go(func() error {
+		defer cancel()
+		a.awaitStop(ctx)
+		return errors.Join(a.data.Close(), a.outbound.Close())
+	})
+	return g.Wait()
+}
+
+// awaitStop exits at a moment without an open request, if one comes soon: the
+// flows stay at the upstream, and the next process learns them from it.
+func (a *Agent) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.stop:
+	}
+	a.mu.Lock()
+	a.keeper.Leave()
+	a.mu.Unlock()
+	a.deps.Log.Info("draining", "seconds", agentDrain.Seconds())
+	limit := time.Now().Add(min(agentDrain, a.settings.Grace()/2))
+	a.show(membership.StateDraining, 0)
+	sleep(ctx, tickPeriod)
+	for time.Now().Before(limit) && ctx.Err() == nil && a.busy() > 0 {
+		sleep(ctx, idlePoll)
+	}
+	a.fleet.Leave(ctx)
+}
+
+func (a *Agent) busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Busy()
+}
+
+// Announce takes an announcement of the upstream. When it returns, the agent
+// acts on it.
+func (a *Agent) Announce(n flow.Announcement) {
+	now := time.Now()
+	a.mu.Lock()
+	outcome := a.keeper.Announce(now, n)
+	state := a.keeper.State(now)
+	a.mu.Unlock()
+	if outcome != flow.AnnouncedTaken {
+		a.deps.Log.Info(
+			"announcement", "upstream", n.ID, "born", n.Born, "sequence", n.Sequence, "leaving", n.Leaving,
+			"gone", n.Gone, "cold_ms", n.ColdLeft.Milliseconds(), "outcome", string(outcome), "state", string(state),
+		)
+	}
+	a.showUpstream(now)
+}
+
+// showUpstream announces the upstream's condition to the fleet when it changed.
+func (a *Agent) showUpstream(now time.Time) {
+	select {
+	case <-a.stop:
+		return
+	default:
+	}
+	a.mu.Lock()
+	state, slots := a.keeper.State(now), a.keeper.Last().Slots
+	a.mu.Unlock()
+	a.show(recordState(state), slots)
+}
+
+func recordState(s flow.UpstreamState) membership.State {
+	switch s {
+	case flow.UpstreamWarm:
+		return membership.StateReady
+	case flow.UpstreamCold:
+		return membership.StateCold
+	}
+	return membership.StateDraining
+}
+
+func (a *Agent) show(state membership.State, slots int) {
+	a.mu.Lock()
+	before := a.shown
+	a.shown.State = state
+	if slots > 0 {
+		a.shown.Slots = uint16(min(slots, 1<<16-1))
+	}
+	shown := a.shown
+	a.mu.Unlock()
+	if shown == before {
+		return
+	}
+	a.deps.Log.Info("record", "state", shown.State.String(), "slots", shown.Slots)
+	a.fleet.Update(func(r *membership.Record) { r.State, r.Slots = shown.State, shown.Slots })
+}
+
+func (a *Agent) readFailed() { a.counters.drop(dropRead) }
+
+func (a *Agent) fromEntry(from netip.AddrPort, b []byte) {
+	s, err := a.deps.Codec.Decode(b)
+	if err != nil {
+		a.counters.drop(dropMalformed)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keeper.Packet(time.Now(), flow.EndOf(from), &s, b)
+}
+
+func (a *Agent) fromUpstream(_ netip.AddrPort, b []byte) {
+	s, err := a.deps.Codec.Decode(b)
+	if err != nil {
+		a.counters.drop(dropMalformed)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keeper.FromUpstream(time.Now(), &s, b, a.entry)
+}
+
+func (a *Agent) tick(now time.Time) {
+	a.mu.Lock()
+	a.keeper.Tick(now)
+	a.mu.Unlock()
+	a.showUpstream(now)
+}
+
+// follow puts limits and zones in force after each change.
+func (a *Agent) follow(ctx context.Context) error {
+	changes := a.fleet.Watch()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+		a.configure(a.fleet.Config(), a.fleet.Members())
+		sleep(ctx, viewPeriod)
+	}
+}
+
+func (a *Agent) configure(c *config.Fleet, members []membership.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i := range members {
+		if members[i].Role == membership.RoleEntry && members[i].State == membership.StateReady {
+			a.entry = flow.EndOf(members[i].Addr)
+			break
+		}
+	}
+	var l flow.Limits
+	var idle time.Duration
+	if p := c.Pools[a.settings.Service]; p != nil {
+		l = flow.Limits{Connections: p.Connections, ColdPerSecond: p.ColdPerSecond}
+		idle = time.Duration(p.IdleMillis) * time.Millisecond
+	}
+	a.keeper.Configure(l, idle, c.ZonesOut[a.settings.Zone])
+}
+
+// ToUpstream implements KeeperOutbox.
+func (a *Agent) ToUpstream(packet []byte) { a.send(a.outbound, packet, a.settings.Upstream) }
+
+// ToCaller implements KeeperOutbox.
+func (a *Agent) ToCaller(k flow.Key, packet []byte) { a.send(a.data, packet, a.callerAddr(k)) }
+
+// Tell implements KeeperOutbox.
+func (a *Agent) Tell(entry flow.End, m *Message) {
+	a.scratch = m.Append(a.scratch[:0], a.keys)
+	a.send(a.data, a.scratch, entry.AddrPort())
+}
+
+// Reset implements KeeperOutbox.
+func (a *Agent) Reset(k flow.Key, seq uint32) {
+	a.scratch = a.deps.Codec.AppendReset(a.scratch[:0], k, seq)
+	a.send(a.data, a.scratch, a.callerAddr(k))
+}
+
+func (a *Agent) callerAddr(k flow.Key) netip.AddrPort {
+	return netip.AddrPortFrom(k.Caller().AddrPort().Addr(), a.settings.CallerPort())
+}
+
+func (a *Agent) send(c PacketConn, b []byte, to netip.AddrPort) {
+	if _, err := c.WriteToUDPAddrPort(b, to); err != nil {
+		a.counters.drop(dropSend)
+	}
+}
--- /dev/null
+++ b/internal/passthrough/codec.go
@@ -0,0 +1,56 @@
+package passthrough
+
+import "crocusnotch/internal/flow"
+
+// Codec reads and writes packets of flows.
+type Codec interface {
+	// Decode reads the header of a packet.
+	Decode(packet []byte) (flow.Segment, error)
+	// SetNote writes a note into the fields that the two ends of a flow do not
+	// read.
+	SetNote(packet []byte, n flow.Note)
+	// Note reads it.
+	Note(packet []byte) flow.Note
+	// Clear removes notes and marks, as the sender wrote the packet.
+	Clear(packet []byte)
+	// AppendReset makes a packet that resets the caller's end of a flow.
+	AppendReset(b []byte, k flow.Key, seq uint32) []byte
+}
+
+// Decision is one decision about a flow, for logs and counters.
+type Decision struct {
+	What   string // fixed set, see docs/OPERATIONS.md
+	Reason string // fixed set
+	Key    flow.Key
+	Agent  flow.End
+	Tries  int
+	Age    int64 // milliseconds since the flow was first seen
+}
+
+// Decisions of entries.
+const (
+	DecisionPlace    = "place"     // a new flow is offered to an agent
+	DecisionOwned    = "owned"     // an agent took it
+	DecisionRefused  = "refused"   // an agent did not take it
+	DecisionNoRoute  = "no-route"  // the address belongs to no route
+	DecisionNobody   = "nobody"    // no agent takes a new flow
+	DecisionLookup   = "lookup"    // a home is asked for the owner
+	DecisionSearch   = "search"    // all agents are asked for the owner
+	DecisionFound    = "found"     // the owner was found
+	DecisionNotFound = "not-found" // nobody owns the flow
+	DecisionMoved    = "moved"     // the owner does not hold the flow any more
+)
+
+// Decisions of agents.
+const (
+	DecisionAdmit  = "admit"
+	DecisionReject = "reject"
+	DecisionProbe  = "probe"   // the upstream is asked whether it holds a flow
+	DecisionLearn  = "learn"   // the upstream holds a flow that was not known
+	DecisionGone   = "gone"    // the upstream does not hold the flow
+	DecisionEnded  = "ended"   // the upstream that held the flow has ended: reset
+	DecisionFull   = "bounced" // the upstream returned an opening packet
+)
+
+// Observer takes decisions. It must not block.
+type Observer func(Decision)
--- /dev/null
+++ b/internal/passthrough/entry.go
@@ -0,0 +1,221 @@
+package passthrough
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/keyring"
+	"crocusnotch/internal/membership"
+)
+
+const (
+	// entryDrain is the time from the announcement of a stop until the entry
+	// exits: two missed readiness checks, half a second apart, and their delay.
+	entryDrain = 2 * time.Second
+	// readyWait is how long a fresh entry waits for a verified configuration
+	// before it works with what peers know.
+	readyWait = 1500 * time.Millisecond
+	// viewPeriod is the shortest time between two views.
+	viewPeriod = 20 * time.Millisecond
+)
+
+// Entry carries packets of callers to agents.
+type Entry struct {
+	settings config.PassthroughEntry
+	deps     Deps
+	fleet    Fleet
+	keys     *keyring.Ring
+	callers  PacketConn
+	data     PacketConn
+	counters *counters
+	started  time.Time
+
+	mu      sync.Mutex // guards router and scratch
+	router  *Router
+	scratch []byte
+
+	ready    atomic.Bool
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// NewEntry opens the sockets of an entry.
+func NewEntry(s config.PassthroughEntry, d Deps) (*Entry, error) {
+	keys, err := s.Ring()
+	if err != nil {
+		return nil, errors.Wrap(err, "secret")
+	}
+	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: make(chan struct{})}
+	e.counters = newCounters(d.Registry)
+	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.started))
+	if e.callers, err = d.listen(s.Fabric); err != nil {
+		return nil, err
+	}
+	if e.data, err = d.listen(s.Data); err != nil {
+		return nil, errors.Join(err, e.callers.Close())
+	}
+	self := membership.Record{Role: membership.RoleEntry, State: membership.StateReady}
+	if e.fleet, err = newNode(&s.Passthrough, self, &d); err != nil {
+		return nil, errors.Join(err, e.callers.Close(), e.data.Close())
+	}
+	return e, nil
+}
+
+// Stop starts a graceful stop.
+func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+
+// Health reports whether the entry can place new flows.
+func (e *Entry) Health() (ok bool, reason string) {
+	select {
+	case <-e.stop:
+		return false, "draining"
+	default:
+	}
+	if !e.ready.Load() {
+		return false, "routes or agents not known yet"
+	}
+	return true, ""
+}
+
+// Run carries packets until ctx ends or a graceful stop is done.
+func (e *Entry) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return e.fleet.Run(ctx) })
+	g.Go(func() error { return e.follow(ctx) })
+	g.Go(func() error { return receive(e.callers, e.readFailed, e.fromCaller) })
+	g.Go(func() error { return receive(e.data, e.readFailed, e.fromPeer) })
+	g.Go(func() error { return every(ctx, tickPeriod, e.tick) })
+	g.Go(func() error {
+		defer cancel()
+		e.awaitStop(ctx)
+		return errors.Join(e.callers.Close(), e.data.Close())
+	})
+	return g.Wait()
+}
+
+func (e *Entry) awaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.stop:
+	}
+	period := min(entryDrain, e.settings.Grace()/2)
+	e.deps.Log.Info("draining", "seconds", period.Seconds())
+	e.fleet.Update(func(r *membership.Record) { r.State = membership.StateDraining })
+	sleep(ctx, period)
+	e.fleet.Leave(ctx)
+}
+
+func (e *Entry) readFailed() { e.counters.drop(dropRead) }
+
+func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) {
+	s, err := e.deps.Codec.Decode(b)
+	if err != nil {
+		e.counters.drop(dropMalformed)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.Packet(time.Now(), &s, b)
+}
+
+func (e *Entry) fromPeer(from netip.AddrPort, b []byte) {
+	m, err := DecodeMessage(b, e.keys)
+	if err != nil {
+		e.counters.drop(dropReason(err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.Message(time.Now(), flow.EndOf(from), &m)
+}
+
+func dropReason(err error) string {
+	if errors.Is(err, ErrBadMAC) {
+		return dropBadMAC
+	}
+	return dropMalformed
+}
+
+func (e *Entry) tick(now time.Time) {
+	fresh := e.fleet.Fresh()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.SetFresh(fresh)
+	e.router.Tick(now)
+	if !e.ready.Load() {
+		e.checkReady(now, fresh)
+	}
+}
+
+// checkReady reports the entry as ready once it knows routes and agents, from
+// the store or, when it does not answer, from peers.
+func (e *Entry) checkReady(now, fresh time.Time) {
+	v := e.router.view
+	if v.Fleet.Routes == nil || len(v.Agents) == 0 || fresh.IsZero() && now.Sub(e.started) < readyWait {
+		return
+	}
+	e.ready.Store(true)
+	e.deps.Log.Info("ready", "version", v.Fleet.Version, "verified", !fresh.IsZero(), "after_ms", now.Sub(e.started).Milliseconds())
+}
+
+// follow puts a new view in force after each change.
+func (e *Entry) follow(ctx context.Context) error {
+	changes := e.fleet.Watch()
+	b := newViewBuilder(&e.settings.Passthrough)
+	incarnations := map[netip.AddrPort]uint64{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+		members := e.fleet.Members()
+		v := b.build(time.Now(), e.fleet.Config(), members)
+		e.mu.Lock()
+		e.router.SetView(v)
+		for i := range members {
+			m := &members[i]
+			if before, known := incarnations[m.Addr]; known && before != m.Incarnation && m.Role == membership.RoleEntry {
+				e.router.Forget(flow.EndOf(m.Addr))
+			}
+			incarnations[m.Addr] = m.Incarnation
+		}
+		e.mu.Unlock()
+		sleep(ctx, viewPeriod)
+	}
+}
+
+// Carry implements Outbox.
+func (e *Entry) Carry(agent flow.End, n flow.Note, packet []byte) {
+	e.deps.Codec.SetNote(packet, n)
+	e.send(e.data, packet, agent.AddrPort())
+}
+
+// Tell implements Outbox.
+func (e *Entry) Tell(entry flow.End, m *Message) {
+	e.scratch = m.Append(e.scratch[:0], e.keys)
+	e.send(e.data, e.scratch, entry.AddrPort())
+}
+
+// Reset implements Outbox.
+func (e *Entry) Reset(k flow.Key, seq uint32) {
+	e.scratch = e.deps.Codec.AppendReset(e.scratch[:0], k, seq)
+	e.send(e.callers, e.scratch, netip.AddrPortFrom(k.Caller().AddrPort().Addr(), e.settings.CallerPort()))
+}
+
+func (e *Entry) send(c PacketConn, b []byte, to netip.AddrPort) {
+	if _, err := c.WriteToUDPAddrPort(b, to); err != nil {
+		e.counters.drop(dropSend)
+	}
+}
--- /dev/null
+++ b/internal/passthrough/keeper.go
@@ -0,0 +1,350 @@
+package passthrough
+
+import (
+	"time"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+)
+
+const (
+	// probeMemory is how long an agent remembers that its upstream returned a
+	// packet of a flow: two spans in which three packets at a wrong upstream
+	// count as a broken flow.
+	probeMemory = 4 * time.Second
+	// reportPeriod is the time between two reports of load to an entry.
+	reportPeriod = 300 * time.Millisecond
+	// reporterLife is how long an entry hears of the load after its last packet.
+	reporterLife = 3 * time.Second
+	// maxReporters bounds the entries that hear of the load.
+	maxReporters = 16
+	// loadShare is the weight of the present in the averaged load, for each
+	// tick of 25 ms: a time constant of about half a second.
+	loadShare = 0.05
+)
+
+// KeeperOutbox sends what a Keeper decides.
+type KeeperOutbox interface {
+	// ToUpstream gives a packet to the upstream.
+	ToUpstream(packet []byte)
+	// ToCaller sends an upstream's packet to its caller.
+	ToCaller(k flow.Key, packet []byte)
+	// Tell sends a message to an entry.
+	Tell(entry flow.End, m *Message)
+	// Reset ends the caller's side of a flow.
+	Reset(k flow.Key, seq uint32)
+}
+
+type keptState uint8
+
+const (
+	keptOpening keptState = iota // offered to the upstream
+	keptOpen                     // the upstream consented, or sent packets of it
+	keptProbing                  // the upstream is asked whether it holds the flow
+)
+
+// kept is one flow of the upstream.
+type kept struct {
+	state  keptState
+	origin flow.End // entry that sent the last packet
+	born   int64    // start of the upstream that holds it, 0 when not known
+	seen   time.Time
+	opened time.Time
+	busy   bool // a request has no answer yet
+	asked  time.Time
+}
+
+// KeeperOptions configure a Keeper.
+type KeeperOptions struct {
+	Service string
+	Started time.Time     // of the process
+	MaxAge  time.Duration // after which flows may be forgotten
+	Silence time.Duration // of an upstream after which it is taken for absent
+	Codec   Codec
+	Out     KeeperOutbox
+	Observe Observer
+}
+
+// Keeper is the state machine of an agent: it stands between the entries and
+// one upstream. It is not safe for concurrent use.
+type Keeper struct {
+	KeeperOptions
+	tag       uint32
+	flows     map[flow.Key]*kept
+	denied    map[flow.Key]time.Time // flows that the upstream does not hold
+	upstream  flow.Upstream
+	gate      flow.Gate
+	limits    flow.Limits
+	idle      time.Duration
+	zoneOut   bool
+	leaving   bool
+	busy      int
+	average   float64
+	reporters map[flow.End]*reporter
+}
+
+// reporter is an entry that hears of the load.
+type reporter struct{ seen, told time.Time }
+
+// NewKeeper returns the state machine of an agent.
+func NewKeeper(o KeeperOptions) *Keeper {
+	return &Keeper{
+		KeeperOptions: o,
+		tag:           config.ServiceTag(o.Service),
+		flows:         map[flow.Key]*kept{},
+		denied:        map[flow.Key]time.Time{},
+		idle:          o.MaxAge,
+		reporters:     map[flow.End]*reporter{},
+	}
+}
+
+// Configure puts limits, the idle time of flows and the zone's state in force.
+func (a *Keeper) Configure(l flow.Limits, idle time.Duration, zoneOut bool) {
+	a.limits, a.zoneOut = l, zoneOut
+	if idle > 0 {
+		a.idle = idle
+	}
+}
+
+// Leave refuses new flows from now on.
+func (a *Keeper) Leave() { a.leaving = true }
+
+// Busy returns the number of requests without an answer.
+func (a *Keeper) Busy() int { return a.busy }
+
+// Flows returns the number of flows that are known.
+func (a *Keeper) Flows() int { return len(a.flows) }
+
+// Announce takes an announcement of the upstream.
+func (a *Keeper) Announce(now time.Time, n flow.Announcement) flow.Announced {
+	return a.upstream.Announce(now, n)
+}
+
+// State returns the condition of the upstream.
+func (a *Keeper) State(now time.Time) flow.UpstreamState { return a.upstream.State(now, a.Silence) }
+
+// Last returns the upstream's last announcement.
+func (a *Keeper) Last() flow.Announcement { return a.upstream.Last() }
+
+// Packet takes a caller's packet from an entry.
+func (a *Keeper) Packet(now time.Time, from flow.End, s *flow.Segment, packet []byte) {
+	n := a.Codec.Note(packet)
+	a.Codec.Clear(packet)
+	a.noteReporter(now, from)
+	k := s.FromCaller()
+	f := a.flows[k]
+	if f != nil && a.ended(f) {
+		a.end(k, f, s)
+		return
+	}
+	if s.Opening {
+		a.open(now, k, f, from, n, packet)
+		return
+	}
+	if f == nil {
+		a.unknown(now, k, from, n, packet)
+		return
+	}
+	f.origin, f.seen = from, now
+	if s.Data > 0 && !f.busy && f.state != keptProbing {
+		f.busy, f.asked = true, now
+		a.busy++
+	}
+	a.Out.ToUpstream(packet)
+}
+
+// ended reports whether another upstream took the place of the one that held
+// the flow.
+func (a *Keeper) ended(f *kept) bool {
+	return f.state == keptOpen && f.born != 0 && f.born != a.upstream.Last().Born
+}
+
+// end resets a flow whose upstream has ended.
+func (a *Keeper) end(k flow.Key, f *kept, s *flow.Segment) {
+	a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened).Milliseconds()})
+	a.forget(k, f)
+	if !s.Reset {
+		a.Out.Reset(k, s.Ack)
+	}
+}
+
+func (a *Keeper) forget(k flow.Key, f *kept) {
+	a.answered(f)
+	delete(a.flows, k)
+}
+
+func (a *Keeper) answered(f *kept) {
+	if f.busy {
+		f.busy = false
+		a.busy--
+	}
+}
+
+// open offers a new flow to the upstream, or refuses it.
+func (a *Keeper) open(now time.Time, k flow.Key, f *kept, from flow.End, n flow.Note, packet []byte) {
+	if f != nil && f.state != keptProbing {
+		f.origin, f.seen = from, now
+		if f.state == keptOpen {
+			a.tellOwned(k, f)
+		}
+		a.Out.ToUpstream(packet)
+		return
+	}
+	reason := a.admit(now, n)
+	if reason != flow.RefusalNone {
+		a.Observe(Decision{What: DecisionReject, Reason: reason.String(), Key: k, Agent: from})
+		a.refuse(k, from, reason, packet)
+		return
+	}
+	a.Observe(Decision{What: DecisionAdmit, Key: k, Agent: from})
+	a.flows[k] = &kept{state: keptOpening, origin: from, born: a.upstream.Last().Born, opened: now, seen: now}
+	a.Out.ToUpstream(packet)
+}
+
+func (a *Keeper) admit(now time.Time, n flow.Note) flow.Refusal {
+	if a.leaving {
+		return flow.RefusalLeaving
+	}
+	return a.gate.Admit(now, flow.Offer{
+		State:   a.State(now),
+		Service: n.Service == a.tag && a.upstream.Last().Service == a.Service,
+		ZoneOut: a.zoneOut,
+		Busy:    a.busy,
+		Slots:   a.upstream.Last().Slots,
+		Flows:   len(a.flows),
+		Limits:  a.limits,
+		Insist:  n.Purpose == flow.PurposeOpenIn,
+	})
+}
+
+func (a *Keeper) refuse(k flow.Key, to flow.End, reason flow.Refusal, packet []byte) {
+	a.Out.Tell(to, &Message{Kind: KindRefused, Key: k, Reason: reason, Load: a.load(), Packet: packet})
+}
+
+// unknown handles a packet of a flow that the agent does not know. An agent that
+// started lately asks its upstream: one that has run for longer than a flow
+// lasts knows all of them.
+func (a *Keeper) unknown(now time.Time, k flow.Key, from flow.End, n flow.Note, packet []byte) {
+	at, denied := a.denied[k]
+	recent := now.Sub(a.Started) < a.MaxAge
+	if !recent || n.Service != a.tag || denied && now.Sub(at) < probeMemory {
+		a.notHeld(k, from, packet)
+		return
+	}
+	a.Observe(Decision{What: DecisionProbe, Key: k, Agent: from})
+	a.flows[k] = &kept{state: keptProbing, origin: from, opened: now, seen: now}
+	a.Out.ToUpstream(packet)
+}
+
+func (a *Keeper) notHeld(k flow.Key, to flow.End, packet []byte) {
+	a.Out.Tell(to, &Message{Kind: KindNotHeld, Key: k, Reason: flow.RefusalNotHeld, Load: a.load(), Packet: packet})
+}
+
+// FromUpstream takes a packet that the upstream sent. anyEntry is told of flows
+// that were not known.
+func (a *Keeper) FromUpstream(now time.Time, s *flow.Segment, packet []byte, anyEntry flow.End) {
+	if s.Bounced {
+		a.bounced(now, s, packet)
+		return
+	}
+	k := s.ToCaller()
+	f := a.flows[k]
+	switch {
+	case f == nil:
+		f = &kept{state: keptOpen, origin: anyEntry, born: a.upstream.Last().Born, opened: now}
+		a.flows[k] = f
+		a.Observe(Decision{What: DecisionLearn, Key: k, Agent: anyEntry})
+		a.tellOwned(k, f)
+	case f.state != keptOpen:
+		f.state, f.born = keptOpen, a.upstream.Last().Born
+		a.tellOwned(k, f)
+	}
+	f.seen = now
+	if s.Data > 0 {
+		a.answered(f)
+	}
+	if s.Reset {
+		a.answered(f)
+	}
+	a.Out.ToCaller(k, packet)
+}
+
+func (a *Keeper) tellOwned(k flow.Key, f *kept) {
+	if !f.origin.IsZero() {
+		a.Out.Tell(f.origin, &Message{Kind: KindOwned, Key: k, Load: a.load()})
+	}
+}
+
+// bounced handles a packet that the upstream returned.
+func (a *Keeper) bounced(now time.Time, s *flow.Segment, packet []byte) {
+	a.Codec.Clear(packet)
+	k := s.FromCaller()
+	f := a.flows[k]
+	if f == nil {
+		return
+	}
+	if s.Opening {
+		if f.state == keptOpening {
+			a.Observe(Decision{What: DecisionFull, Key: k, Agent: f.origin})
+			a.forget(k, f)
+			a.refuse(k, f.origin, flow.RefusalBounced, packet)
+		}
+		return
+	}
+	a.Observe(Decision{What: DecisionGone, Key: k, Agent: f.origin, Age: now.Sub(f.opened).Milliseconds()})
+	a.forget(k, f)
+	a.denied[k] = now
+	a.notHeld(k, f.origin, packet)
+}
+
+func (a *Keeper) load() flow.Load { return flow.Load{Busy: a.average, Flows: len(a.flows)} }
+
+func (a *Keeper) noteReporter(now time.Time, entry flow.End) {
+	r := a.reporters[entry]
+	if r == nil {
+		if len(a.reporters) >= maxReporters {
+			return
+		}
+		r = &reporter{}
+		a.reporters[entry] = r
+	}
+	r.seen = now
+}
+
+// Tick averages and reports the load and forgets old flows.
+func (a *Keeper) Tick(now time.Time) {
+	a.average += (float64(a.busy) - a.average) * loadShare
+	for entry, r := range a.reporters {
+		if now.Sub(r.seen) > reporterLife {
+			delete(a.reporters, entry)
+			continue
+		}
+		if now.Sub(r.told) >= reportPeriod {
+			r.told = now
+			a.Out.Tell(entry, &Message{Kind: KindLoad, Load: a.load()})
+		}
+	}
+	a.sweep(now)
+}
+
+func (a *Keeper) sweep(now time.Time) {
+	left := len(a.flows)/sweepShare + 1
+	for k, f := range a.flows {
+		if left == 0 {
+			break
+		}
+		left--
+		limit := a.idle + closedLife
+		if f.state == keptProbing {
+			limit = probeMemory
+		}
+		if now.Sub(f.seen) > limit {
+			a.forget(k, f)
+		}
+	}
+	for k, at := range a.denied {
+		if now.Sub(at) > probeMemory {
+			delete(a.denied, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/message.go
@@ -0,0 +1,119 @@
+// Package passthrough carries flows whose packets the fleet may not change: the
+// entry finds the agent that owns a flow, and the agent stands before its
+// upstream. Package flow has the decisions about placement and admission.
+package passthrough
+
+import (
+	"encoding/binary"
+
+	"github.com/go-faster/errors"
+
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/keyring"
+)
+
+// Kind tells what a message to an entry is for.
+type Kind uint8
+
+// Kinds of messages to entries.
+const (
+	KindOwned    Kind = 1 // an agent owns the flow
+	KindRefused  Kind = 2 // an agent does not take the new flow; carries its packet
+	KindNotHeld  Kind = 3 // an agent does not hold the flow; carries its packet
+	KindLoad     Kind = 4 // an agent's load
+	KindLookup   Kind = 5 // entry to a home of the flow; carries a packet of it
+	KindUnknown  Kind = 6 // a home does not know the owner
+	KindRegister Kind = 7 // entry to a home: owners of flows
+	kindEnd      Kind = 8
+)
+
+// Layout of a message in bytes.
+const (
+	messageMagic   = 0xC7
+	offKind        = 1
+	offGeneration  = 2
+	offReason      = 3
+	offMAC         = 4
+	offBody        = 12
+	endSize        = 6
+	keySize        = 12
+	offKey         = offBody
+	offOwner       = offKey + keySize
+	offBusy        = offOwner + endSize
+	offFlows       = offBusy + 2
+	headSize       = offFlows + 2
+	pairSize       = keySize + endSize
+	maxPairs       = 60 // fits into a datagram of 1,200 bytes
+	busyResolution = 100
+)
+
+// Message is one datagram to an entry. The fields in use depend on Kind.
+type Message struct {
+	Kind   Kind
+	Key    flow.Key
+	Owner  flow.End
+	Reason flow.Refusal
+	Load   flow.Load
+	Packet []byte
+	Pairs  []Pair
+}
+
+// Pair names the owner of a flow.
+type Pair struct {
+	Key   flow.Key
+	Owner flow.End
+}
+
+// Faults of messages.
+var (
+	ErrMalformed = errors.New("passthrough: malformed message")
+	ErrBadMAC    = errors.New("passthrough: wrong MAC or unknown key generation")
+)
+
+// Append encodes and signs the message.
+func (m *Message) Append(b []byte, keys *keyring.Ring) []byte {
+	start := len(b)
+	b = append(b, messageMagic, byte(m.Kind), keys.Signing(), byte(m.Reason))
+	b = append(b, make([]byte, offBody-offMAC)...)
+	b = append(b, m.Key[:]...)
+	b = append(b, m.Owner[:]...)
+	b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.Busy*busyResolution, 1<<16-1)))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.Flows, 1<<16-1)))
+	for _, p := range m.Pairs {
+		b = append(b, p.Key[:]...)
+		b = append(b, p.Owner[:]...)
+	}
+	b = append(b, m.Packet...)
+	// The kind and the reason are signed with the body.
+	sum, _ := keys.MAC(keys.Signing(), keyring.PurposeDatagram, b[start+offBody:])
+	binary.BigEndian.PutUint64(b[start+offMAC:], sum^uint64(m.Kind)<<8^uint64(m.Reason))
+	return b
+}
+
+// DecodeMessage verifies and decodes a message. Packet refers to b.
+func DecodeMessage(b []byte, keys *keyring.Ring) (Message, error) {
+	if len(b) < headSize || b[0] != messageMagic || b[offKind] == 0 || Kind(b[offKind]) >= kindEnd {
+		return Message{}, ErrMalformed
+	}
+	m := Message{Kind: Kind(b[offKind]), Reason: flow.Refusal(b[offReason])}
+	sum, ok := keys.MAC(b[offGeneration], keyring.PurposeDatagram, b[offBody:])
+	if !ok || sum^uint64(m.Kind)<<8^uint64(m.Reason) != binary.BigEndian.Uint64(b[offMAC:]) {
+		return Message{}, ErrBadMAC
+	}
+	m.Key = flow.Key(b[offKey:offOwner])
+	m.Owner = flow.End(b[offOwner:offBusy])
+	m.Load.Busy = float64(binary.BigEndian.Uint16(b[offBusy:])) / busyResolution
+	m.Load.Flows = int(binary.BigEndian.Uint16(b[offFlows:]))
+	rest := b[headSize:]
+	if m.Kind != KindRegister {
+		m.Packet = rest
+		return m, nil
+	}
+	if len(rest)%pairSize != 0 {
+		return Message{}, ErrMalformed
+	}
+	for ; len(rest) > 0; rest = rest[pairSize:] {
+		m.Pairs = append(m.Pairs, Pair{Key: flow.Key(rest[:keySize]), Owner: flow.End(rest[keySize:pairSize])})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/passthrough/node.go
@@ -0,0 +1,90 @@
+package passthrough
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
+	"crocusnotch/internal/fleet"
+	"crocusnotch/internal/membership"
+	"crocusnotch/internal/wire"
+)
+
+const (
+	// readWait bounds a waiting watch: a change that the watch misses is found
+	// when it ends.
+	readWait = 1200 * time.Millisecond
+	// staleAfter is the age of the configuration above which an entry reads the
+	// store itself: with the read it stays below the 3 s that a change may take.
+	staleAfter = 1800 * time.Millisecond
+	// readFirst is the shortest time from the start to the first read of the
+	// store; until then peers are asked.
+	readFirst = 200 * time.Millisecond
+	// joinTimeout bounds one snapshot: a seed may be a dark instance.
+	joinTimeout = 600 * time.Millisecond
+	// joinBackoffMin and joinBackoffMax bound the pause between two searches for
+	// peers.
+	joinBackoffMin = 150 * time.Millisecond
+	joinBackoffMax = 2 * time.Second
+)
+
+// Fleet is what entries and agents need of their fleet node.
+type Fleet interface {
+	Run(ctx context.Context) error
+	Config() *config.Fleet
+	Fresh() time.Time
+	Members() []membership.Record
+	Watch() <-chan struct{}
+	Update(change func(*membership.Record))
+	Follow(service string)
+	Events() *explain.Ring
+	SetStatus(fill func(*wire.Status))
+	Leave(ctx context.Context)
+}
+
+// Deps are what an entry or an agent is given.
+type Deps struct {
+	Log      *slog.Logger
+	Registry *prometheus.Registry
+	Codec    Codec
+	Store    fleet.Store
+	// Fleet is the fleet node; nil means one by the settings.
+	Fleet Fleet
+	// Listen opens the UDP sockets; nil means those of the system.
+	Listen func(netip.AddrPort) (PacketConn, error)
+}
+
+// newNode returns the fleet node that the settings describe.
+func newNode(s *config.Passthrough, self membership.Record, d *Deps) (Fleet, error) {
+	if d.Fleet != nil {
+		return d.Fleet, nil
+	}
+	keys, err := s.Ring()
+	if err != nil {
+		return nil, errors.Wrap(err, "secret")
+	}
+	self.Addr, self.Control, self.Zone = s.Data, s.Control, s.ZoneID(s.Zone)
+	return fleet.New(fleet.Options{
+		Self:     self,
+		Zone:     s.Zone,
+		Seeds:    s.Peers(),
+		Store:    d.Store,
+		Log:      d.Log,
+		Registry: d.Registry,
+		Keys:     keys,
+		Reading: fleet.Reading{
+			Kinds:    []string{config.KindRoutes, config.KindZoneOut},
+			Watchers: 1,
+			Wait:     readWait,
+			First:    readFirst,
+			Stale:    staleAfter,
+		},
+		Joining: fleet.Joining{Timeout: joinTimeout, BackoffMin: joinBackoffMin, BackoffMax: joinBackoffMax},
+	})
+}
--- /dev/null
+++ b/internal/passthrough/router.go
@@ -0,0 +1,508 @@
+package passthrough
+
+import (
+	"bytes"
+	"time"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+)
+
+const (
+	// lookupWait bounds the wait for the answer of a home or of all agents:
+	// some hops between availability zones and a busy process.
+	lookupWait = 60 * time.Millisecond
+	// searchPause is the time between two searches for one flow; the ends send
+	// a packet again after 200 ms at the earliest.
+	searchPause = 300 * time.Millisecond
+	// maxTries bounds the agents that are offered one copy of an opening
+	// packet.
+	maxTries = 4
+	// lastCopy is the number of the copy after which a caller sends no other.
+	lastCopy = 2
+	// searchAll is the number of agents up to which all are asked for a flow;
+	// in larger fleets only those of the services of its route.
+	searchAll = 64
+	// freshConfig is the age of the configuration up to which an unknown
+	// address is certainly no route.
+	freshConfig = 2 * time.Second
+	// maxQueue bounds the packets of one flow that wait for a search: a
+	// request of a few kilobytes.
+	maxQueue = 8
+	// closedLife is how long a flow is kept after its idle time.
+	closedLife = 2 * time.Second
+	// sweepShare is the part of the flows that one tick looks through.
+	sweepShare = 64
+)
+
+// View is what an entry knows of the fleet. It is immutable.
+type View struct {
+	Self    flow.End
+	Entries []flow.End              // data addresses of live entries, the own one included
+	Agents  map[uint16][]flow.Agent // by service ID: agents that may take new flows
+	Owners  map[flow.End]string     // all agents that may own flows, with their service's name
+	Fleet   *config.Fleet
+}
+
+// Outbox sends what a Router decides.
+type Outbox interface {
+	// Carry hands a caller's packet to an agent.
+	Carry(agent flow.End, n flow.Note, packet []byte)
+	// Tell sends a message to an entry.
+	Tell(entry flow.End, m *Message)
+	// Reset ends the caller's side of a flow.
+	Reset(k flow.Key, seq uint32)
+}
+
+type routeState uint8
+
+const (
+	statePlacing   routeState = iota // offered to owner, which has not answered
+	stateOwned                       // owner holds the flow
+	stateSearching                   // the owner is asked for
+	stateLost                        // the last search found nobody
+)
+
+// routed is what an entry knows of one flow.
+type routed struct {
+	state  routeState
+	copies uint32 // number of the last copy of the opening packet
+	stage  uint8  // of a search: index of the home, then all agents
+	owner  flow.End
+	homes  flow.Homes
+	tried  []flow.End
+	held   []byte   // packet that a search is made with
+	queue  [][]byte // packets that came during the search
+	seq    uint32
+	since  time.Time // start of the stage
+	opened time.Time
+	seen   time.Time
+}
+
+// Router is the state machine of an entry: it finds the agent for each packet
+// of a caller. It is not safe for concurrent use.
+type Router struct {
+	view      *View
+	placement *flow.Placement
+	flows     map[flow.Key]*routed
+	searching map[flow.Key]*routed
+	pending   map[flow.End][]Pair // registrations to be sent
+	out       Outbox
+	observe   Observer
+	maxAge    time.Duration
+	fresh     time.Time
+}
+
+// NewRouter returns a router for an entry in the zone. maxAge is the age after
+// which flows may be forgotten.
+func NewRouter(zone string, maxAge time.Duration, out Outbox, observe Observer) *Router {
+	return &Router{
+		view:      &View{Fleet: config.Empty()},
+		placement: flow.NewPlacement(zone),
+		flows:     map[flow.Key]*routed{},
+		searching: map[flow.Key]*routed{},
+		pending:   map[flow.End][]Pair{},
+		out:       out,
+		observe:   observe,
+		maxAge:    maxAge,
+	}
+}
+
+// Flows returns the number of flows that are known.
+func (r *Router) Flows() int { return len(r.flows) }
+
+// SetFresh tells when the configuration was last known to be the latest.
+func (r *Router) SetFresh(at time.Time) { r.fresh = at }
+
+// SetView puts another view in force. Owners of flows are told to entries that
+// became homes.
+func (r *Router) SetView(v *View) {
+	entriesChanged := !sameEnds(r.view.Entries, v.Entries)
+	r.view = v
+	if !entriesChanged {
+		return
+	}
+	for k, f := range r.flows {
+		if f.state == stateOwned {
+			r.register(k, f)
+		}
+	}
+}
+
+func sameEnds(a, b []flow.End) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Forget lets homes that restarted hear of all flows again.
+func (r *Router) Forget(entry flow.End) {
+	for k, f := range r.flows {
+		for i, h := range f.homes {
+			if h == entry {
+				f.homes[i] = flow.End{}
+				r.register(k, f)
+			}
+		}
+	}
+}
+
+// Packet routes one packet of a caller.
+func (r *Router) Packet(now time.Time, s *flow.Segment, packet []byte) {
+	k := s.FromCaller()
+	f := r.flows[k]
+	if s.Opening {
+		r.open(now, k, f, s, packet)
+		return
+	}
+	if f == nil {
+		f = &routed{state: stateLost, opened: now}
+		r.flows[k] = f
+	}
+	f.seen, f.seq = now, s.Ack
+	switch f.state {
+	case stateOwned, statePlacing:
+		r.out.Carry(f.owner, r.note(k, flow.PurposeOwner, f.owner), packet)
+	case stateSearching:
+		if len(f.queue) < maxQueue {
+			f.queue = append(f.queue, bytes.Clone(packet))
+		}
+	case stateLost:
+		if now.Sub(f.since) >= searchPause {
+			r.startSearch(now, k, f, packet)
+		}
+	}
+}
+
+func (r *Router) note(k flow.Key, p flow.Purpose, agent flow.End) flow.Note {
+	name := r.view.Owners[agent]
+	if !r.routeHas(k, name) {
+		return flow.Note{Purpose: p}
+	}
+	return flow.Note{Purpose: p, Service: config.ServiceTag(name)}
+}
+
+func (r *Router) routeHas(k flow.Key, service string) bool {
+	route := r.view.Fleet.Routes[k.Route().AddrPort()]
+	if route == nil {
+		return false
+	}
+	for i := range route.Choices {
+		if route.Choices[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// open places a new flow, or passes on a copy of its opening packet.
+func (r *Router) open(now time.Time, k flow.Key, f *routed, s *flow.Segment, packet []byte) {
+	route := r.view.Fleet.Routes[k.Route().AddrPort()]
+	if route == nil {
+		r.noRoute(now, k, s)
+		return
+	}
+	if f == nil || f.state == stateLost || f.state == stateSearching {
+		f = &routed{opened: now}
+		r.flows[k] = f
+		delete(r.searching, k)
+	}
+	f.seen, f.seq = now, 0
+	if f.state == stateOwned {
+		r.out.Carry(f.owner, r.note(k, flow.PurposeOpen, f.owner), packet)
+		return
+	}
+	if !f.owner.IsZero() {
+		if s.Ack <= f.copies {
+			return
+		}
+		// The agent that got the last copy has not answered it.
+		r.placement.Avoid(now, f.owner)
+		f.tried = append(f.tried[:0], f.owner)
+	} else {
+		f.tried = f.tried[:0]
+	}
+	f.copies = s.Ack
+	r.place(now, k, f, route, packet, flow.RefusalNone)
+}
+
+// noRoute answers an opening packet for an address that is no route.
+func (r *Router) noRoute(now time.Time, k flow.Key, _ *flow.Segment) {
+	if now.Sub(r.fresh) > freshConfig {
+		r.observe(Decision{What: DecisionNoRoute, Reason: "configuration-old", Key: k})
+		return
+	}
+	r.observe(Decision{What: DecisionNoRoute, Reason: "reset", Key: k})
+	r.out.Reset(k, 0)
+}
+
+// place offers a new flow to an agent that has not refused it.
+func (r *Router) place(now time.Time, k flow.Key, f *routed, route *config.Route, packet []byte, last flow.Refusal) {
+	service := flow.ServiceOf(route, k)
+	agents := r.view.Agents[config.ServiceID(service)]
+	purpose := flow.PurposeOpen
+	var agent flow.Agent
+	ok := false
+	if len(f.tried) < maxTries {
+		agent, ok = r.placement.Choose(now, k, agents, f.tried)
+	}
+	if !ok && last == flow.RefusalBusy {
+		// All are busy: the least loaded one queues the flow.
+		purpose = flow.PurposeOpenIn
+		agent, ok = r.placement.Choose(now, k, agents, nil)
+	}
+	if !ok {
+		r.nobody(k, f, last)
+		return
+	}
+	f.state, f.owner = statePlacing, agent.Addr
+	f.tried = append(f.tried, agent.Addr)
+	r.observe(Decision{What: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
+	r.out.Carry(agent.Addr, flow.Note{Purpose: purpose, Service: config.ServiceTag(service)}, packet)
+}
+
+// nobody ends an attempt that no agent takes. As long as the caller sends
+// another copy, which an agent may take by then, there is no answer.
+func (r *Router) nobody(k flow.Key, f *routed, last flow.Refusal) {
+	reason := last.String()
+	if last == flow.RefusalNone {
+		reason = "no-agent"
+	}
+	r.observe(Decision{What: DecisionNobody, Reason: reason, Key: k, Tries: len(f.tried)})
+	f.owner = flow.End{}
+	if f.copies < lastCopy {
+		return
+	}
+	delete(r.flows, k)
+	r.out.Reset(k, 0)
+}
+
+// Message takes a message from an agent or another entry.
+func (r *Router) Message(now time.Time, from flow.End, m *Message) {
+	switch m.Kind {
+	case KindOwned:
+		r.owned(now, from, m)
+	case KindRefused:
+		r.placement.Report(now, from, m.Load)
+		r.refused(now, from, m)
+	case KindNotHeld:
+		r.notHeld(now, from, m)
+	case KindLoad:
+		r.placement.Report(now, from, m.Load)
+	case KindLookup:
+		r.lookup(from, m)
+	case KindUnknown:
+		r.unknown(now, from, m)
+	case KindRegister:
+		r.registered(now, m)
+	}
+}
+
+func (r *Router) owned(now time.Time, from flow.End, m *Message) {
+	if m.Owner.IsZero() {
+		m.Owner = from // the agent speaks of itself
+		r.placement.Report(now, from, m.Load)
+	}
+	f := r.flows[m.Key]
+	if f == nil {
+		f = &routed{opened: now, seen: now}
+		r.flows[m.Key] = f
+	}
+	if f.state == stateOwned && f.owner == m.Owner {
+		return
+	}
+	what := DecisionOwned
+	if f.state != statePlacing {
+		what = DecisionFound
+	}
+	r.observe(Decision{What: what, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.opened).Milliseconds()})
+	delete(r.searching, m.Key)
+	f.state, f.owner, f.held, f.tried = stateOwned, m.Owner, nil, nil
+	f.homes = flow.Homes{}
+	r.register(m.Key, f)
+	r.release(m.Key, f)
+}
+
+// release passes on what came during a search.
+func (r *Router) release(k flow.Key, f *routed) {
+	for _, packet := range f.queue {
+		r.out.Carry(f.owner, r.note(k, flow.PurposeOwner, f.owner), packet)
+	}
+	f.queue = nil
+}
+
+// register tells the homes of a flow its owner, those excepted that know it.
+func (r *Router) register(k flow.Key, f *routed) {
+	homes := flow.HomesOf(k, r.view.Entries)
+	for _, h := range homes {
+		if !h.IsZero() && h != r.view.Self && !f.homes.Has(h) {
+			r.pending[h] = append(r.pending[h], Pair{Key: k, Owner: f.owner})
+		}
+	}
+	f.homes = homes
+}
+
+func (r *Router) refused(now time.Time, from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	r.observe(Decision{What: DecisionRefused, Reason: m.Reason.String(), Key: m.Key, Agent: from})
+	if f == nil || f.state != statePlacing || f.owner != from {
+		return
+	}
+	route := r.view.Fleet.Routes[m.Key.Route().AddrPort()]
+	if route == nil {
+		r.nobody(m.Key, f, m.Reason)
+		return
+	}
+	r.place(now, m.Key, f, route, m.Packet, m.Reason)
+}
+
+// notHeld looks elsewhere for a flow that an agent does not hold.
+func (r *Router) notHeld(now time.Time, from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state == stateSearching || f.state == stateLost || f.owner != from {
+		return
+	}
+	r.observe(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened).Milliseconds()})
+	f.owner = flow.End{}
+	f.held = append(f.held[:0], m.Packet...)
+	f.state, f.stage = stateSearching, flow.HomeCount
+	r.searching[m.Key] = f
+	r.askAgents(now, m.Key, f, from)
+}
+
+// startSearch asks the homes of the flow, one after the other, then all agents.
+func (r *Router) startSearch(now time.Time, k flow.Key, f *routed, packet []byte) {
+	f.state, f.stage = stateSearching, 0
+	f.held = append(f.held[:0], packet...)
+	r.searching[k] = f
+	r.askNext(now, k, f)
+}
+
+func (r *Router) askNext(now time.Time, k flow.Key, f *routed) {
+	homes := flow.HomesOf(k, r.view.Entries)
+	for ; int(f.stage) < flow.HomeCount; f.stage++ {
+		h := homes[f.stage]
+		if h.IsZero() || h == r.view.Self {
+			continue
+		}
+		f.since = now
+		r.observe(Decision{What: DecisionLookup, Key: k, Agent: h, Tries: int(f.stage) + 1})
+		r.out.Tell(h, &Message{Kind: KindLookup, Key: k, Packet: f.held})
+		return
+	}
+	r.askAgents(now, k, f, flow.End{})
+}
+
+// askAgents gives a copy of the held packet to all agents that may own the
+// flow, except one.
+func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
+	f.since, f.stage = now, flow.HomeCount
+	all := len(r.view.Owners) <= searchAll
+	asked := 0
+	for agent, service := range r.view.Owners {
+		if agent == except || !all && !r.routeHas(k, service) {
+			continue
+		}
+		asked++
+		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
+	}
+	r.observe(Decision{What: DecisionSearch, Key: k, Tries: asked})
+}
+
+// lookup answers another entry that asks for the owner of a flow, and hands the
+// packet on.
+func (r *Router) lookup(from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateOwned {
+		r.out.Tell(from, &Message{Kind: KindUnknown, Key: m.Key})
+		return
+	}
+	r.out.Tell(from, &Message{Kind: KindOwned, Key: m.Key, Owner: f.owner})
+	r.out.Carry(f.owner, r.note(m.Key, flow.PurposeOwner, f.owner), m.Packet)
+}
+
+func (r *Router) unknown(now time.Time, from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || int(f.stage) >= flow.HomeCount {
+		return
+	}
+	if flow.HomesOf(m.Key, r.view.Entries)[f.stage] != from {
+		return
+	}
+	f.stage++
+	r.askNext(now, m.Key, f)
+}
+
+func (r *Router) registered(now time.Time, m *Message) {
+	for _, p := range m.Pairs {
+		f := r.flows[p.Key]
+		if f == nil {
+			f = &routed{opened: now, seen: now}
+			r.flows[p.Key] = f
+		}
+		if f.state == stateOwned && f.owner == p.Owner {
+			continue
+		}
+		delete(r.searching, p.Key)
+		f.state, f.owner, f.held = stateOwned, p.Owner, nil
+		f.homes = flow.HomesOf(p.Key, r.view.Entries)
+		r.release(p.Key, f)
+	}
+}
+
+// Tick goes on with searches, sends registrations and forgets old flows.
+func (r *Router) Tick(now time.Time) {
+	for k, f := range r.searching {
+		if now.Sub(f.since) < lookupWait {
+			continue
+		}
+		if int(f.stage) < flow.HomeCount {
+			f.stage++
+			r.askNext(now, k, f)
+			continue
+		}
+		r.observe(Decision{What: DecisionNotFound, Key: k, Age: now.Sub(f.opened).Milliseconds()})
+		delete(r.searching, k)
+		f.state, f.held, f.queue = stateLost, nil, nil
+	}
+	r.flush()
+	r.sweep(now)
+}
+
+func (r *Router) flush() {
+	for home, pairs := range r.pending {
+		for len(pairs) > 0 {
+			n := min(len(pairs), maxPairs)
+			r.out.Tell(home, &Message{Kind: KindRegister, Pairs: pairs[:n]})
+			pairs = pairs[n:]
+		}
+		delete(r.pending, home)
+	}
+}
+
+// sweep forgets some of the flows that are idle or old. The order of a map's
+// iteration is random, so that all are reached in time.
+func (r *Router) sweep(now time.Time) {
+	left := len(r.flows)/sweepShare + 1
+	idle := r.view.Fleet.Idle + closedLife
+	for k, f := range r.flows {
+		if left == 0 {
+			return
+		}
+		left--
+		limit := idle
+		if f.state == stateOwned && f.homes.Has(r.view.Self) {
+			limit = r.maxAge // a home sees no packets of the flow
+		}
+		if now.Sub(f.seen) > limit {
+			delete(r.flows, k)
+			delete(r.searching, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/view.go
@@ -0,0 +1,80 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/membership"
+)
+
+// viewBuilder makes views from the members and the configuration. It remembers
+// agents that are gone as long as flows may last, because an agent that restarts
+// holds the same flows as before.
+type viewBuilder struct {
+	settings *config.Passthrough
+	self     flow.End
+	owners   map[flow.End]pastOwner
+}
+
+type pastOwner struct {
+	service uint16
+	seen    time.Time
+}
+
+func newViewBuilder(s *config.Passthrough) *viewBuilder {
+	return &viewBuilder{settings: s, self: flow.EndOf(s.Data), owners: map[flow.End]pastOwner{}}
+}
+
+func (b *viewBuilder) build(now time.Time, fleet *config.Fleet, members []membership.Record) *View {
+	v := &View{
+		Self:    b.self,
+		Entries: []flow.End{b.self},
+		Agents:  map[uint16][]flow.Agent{},
+		Owners:  map[flow.End]string{},
+		Fleet:   fleet,
+	}
+	for i := range members {
+		m := &members[i]
+		switch {
+		case m.Role == membership.RoleAgent:
+			b.owners[flow.EndOf(m.Addr)] = pastOwner{service: m.Service, seen: now}
+			b.addAgent(v, m)
+		case m.State != membership.StateDraining:
+			v.Entries = append(v.Entries, flow.EndOf(m.Addr))
+		}
+	}
+	slices.SortFunc(v.Entries, func(x, y flow.End) int { return slices.Compare(x[:], y[:]) })
+	b.addOwners(now, v)
+	return v
+}
+
+// addAgent adds an agent that may take new flows.
+func (b *viewBuilder) addAgent(v *View, m *membership.Record) {
+	zone := b.settings.ZoneName(m.Zone)
+	if m.State == membership.StateDraining || v.Fleet.ZonesOut[zone] {
+		return
+	}
+	v.Agents[m.Service] = append(v.Agents[m.Service], flow.Agent{
+		Addr:    flow.EndOf(m.Addr),
+		Zone:    zone,
+		Slots:   int(m.Slots),
+		Cold:    m.State == membership.StateCold,
+		Suspect: m.State == membership.StateSuspect,
+	})
+}
+
+func (b *viewBuilder) addOwners(now time.Time, v *View) {
+	names := make(map[uint16]string, len(v.Fleet.Pools))
+	for name := range v.Fleet.Pools {
+		names[config.ServiceID(name)] = name
+	}
+	for addr, o := range b.owners {
+		if now.Sub(o.seen) > b.settings.FlowMax() {
+			delete(b.owners, addr)
+			continue
+		}
+		v.Owners[addr] = names[o.service]
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,7 +12,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -20,8 +19,6 @@
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
-
-	"crocusnotch/internal/config"
 )
 
 // MaxValueSize is the largest value of an object in bytes.
@@ -36,13 +33,6 @@
 	defaultBurst       = 50
 	maxResponseSize    = 64 << 20
 	drainLimit         = 4 << 10
-	decimal            = 10
-
-	headerIfMatch     = "If-Match"
-	headerIfNoneMatch = "If-None-Match"
-	contentTypeJSON   = "application/json"
-	objectsPath       = "/v1/objects/"
-	watchPath         = "/v1/watch"
 )
 
 // Options adjust a client. Zero values select the defaults.
@@ -56,6 +46,7 @@
 	Burst       int
 	Registry    prometheus.Registerer
 	Jitter      func(time.Duration) time.Duration // shortens a pause at random
+	Dialect     Dialect                           // default: the product's own object API
 }
 
 // Client talks to the object API. It is safe for concurrent use.
@@ -102,6 +93,9 @@
 	if o.Jitter == nil {
 		o.Jitter = fullJitter
 	}
+	if o.Dialect == nil {
+		o.Dialect = native{}
+	}
 	return o
 }
 
@@ -109,65 +103,43 @@
 	return time.Duration(rand.Int64N(int64(d) + 1))
 }
 
-// call is one exchange with the store.
-type call struct {
-	name    string // label of the metrics
-	method  string
-	path    string
-	query   url.Values
-	header  http.Header
-	body    []byte
-	timeout time.Duration
-}
-
-// response is what the store answered.
-type response struct {
-	status int
-	body   []byte
-}
-
-// retryable reports whether another try may be answered.
-func (r response) retryable() bool {
-	return r.status == http.StatusTooManyRequests || r.status >= http.StatusInternalServerError
-}
-
 // roundTrip makes one call without a retry. The error is nil for every answer
 // that came whole, whatever its status.
-func (c *Client) roundTrip(ctx context.Context, k call) (response, error) {
+func (c *Client) roundTrip(ctx context.Context, k Call) (Response, error) {
 	if err := c.budget.Wait(ctx); err != nil {
-		return response{}, errors.Wrap(err, "wait for call budget")
+		return Response{}, errors.Wrap(err, "wait for call budget")
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.timeout)
+	ctx, cancel := context.WithTimeout(ctx, k.Timeout)
 	defer cancel()
 	req, err := c.request(ctx, k)
 	if err != nil {
-		return response{}, err
+		return Response{}, err
 	}
 	res, err := c.opts.HTTP.Do(req)
 	if err != nil {
-		c.metrics.call(k.name, "lost")
-		return response{}, errors.Wrap(err, "call store")
+		c.metrics.call(k.Name, "lost")
+		return Response{}, errors.Wrap(err, "call store")
 	}
 	defer closeBody(res.Body)
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseSize))
 	if err != nil {
-		c.metrics.call(k.name, "lost")
-		return response{}, errors.Wrap(err, "read store answer")
+		c.metrics.call(k.Name, "lost")
+		return Response{}, errors.Wrap(err, "read store answer")
 	}
-	c.metrics.call(k.name, strconv.Itoa(res.StatusCode))
-	return response{status: res.StatusCode, body: body}, nil
+	c.metrics.call(k.Name, strconv.Itoa(res.StatusCode))
+	return Response{Status: res.StatusCode, Body: body}, nil
 }
 
-func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
-	target := c.base + k.path
-	if len(k.query) > 0 {
-		target += "?" + k.query.Encode()
+func (c *Client) request(ctx context.Context, k Call) (*http.Request, error) {
+	target := c.base + k.Path
+	if len(k.Query) > 0 {
+		target += "?" + k.Query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, k.method, target, bytes.NewReader(k.body))
+	req, err := http.NewRequestWithContext(ctx, k.Method, target, bytes.NewReader(k.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	for name, values := range k.header {
+	for name, values := range k.Header {
 		req.Header[name] = values
 	}
 	return req, nil
@@ -200,13 +172,9 @@
 	return c.opts.Jitter(d)
 }
 
-func objectPath(id config.ID) string {
-	return objectsPath + url.PathEscape(id.Kind) + "/" + url.PathEscape(id.Name)
-}
-
-func retryReason(res response, err error) string {
+func retryReason(res Response, err error) string {
 	if err != nil {
 		return "lost"
 	}
-	return strconv.Itoa(res.status)
+	return strconv.Itoa(res.Status)
 }
--- a/internal/platform/commands.go
+++ b/internal/platform/commands.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -15,64 +13,42 @@
 // Create writes an object that must not exist yet. The error is a
 // *ConflictError or ErrTooLarge, or wraps ErrUncertain or ErrUnavailable.
 func (c *Client) Create(ctx context.Context, id config.ID, value []byte) (config.Object, error) {
-	return c.write(ctx, write{id: id, value: value})
+	return c.write(ctx, Write{ID: id, Value: value})
 }
 
 // Update replaces the object at the expected revision. The errors are those of
 // Create.
 func (c *Client) Update(ctx context.Context, id config.ID, expected uint64, value []byte) (config.Object, error) {
-	return c.write(ctx, write{id: id, expected: expected, value: value})
+	return c.write(ctx, Write{ID: id, Expected: expected, Value: value})
 }
 
 // Delete removes the object at the expected revision. The errors are those of
 // Create.
 func (c *Client) Delete(ctx context.Context, id config.ID, expected uint64) (config.Object, error) {
-	return c.write(ctx, write{id: id, expected: expected, remove: true})
-}
-
-// write is one conditional change of an object.
-type write struct {
-	id       config.ID
-	expected uint64 // 0 for a creation
-	value    []byte
-	remove   bool
-}
-
-func (w write) call(c *Client) call {
-	k := call{name: "put", method: http.MethodPut, path: objectPath(w.id), body: w.value, timeout: c.opts.CallTimeout}
-	k.header = http.Header{"Content-Type": {contentTypeJSON}}
-	if w.remove {
-		k.name, k.method, k.body = "delete", http.MethodDelete, nil
-	}
-	if w.expected == 0 {
-		k.header.Set(headerIfNoneMatch, "*")
-		return k
-	}
-	k.header.Set(headerIfMatch, strconv.Quote(strconv.FormatUint(w.expected, decimal)))
-	return k
+	return c.write(ctx, Write{ID: id, Expected: expected, Remove: true})
 }
 
 // tookEffect reports whether the object that was read back is what w leaves.
 // current is nil when the store holds none.
-func (w write) tookEffect(current *config.Object) bool {
-	if w.remove {
+func (w Write) tookEffect(current *config.Object) bool {
+	if w.Remove {
 		return current == nil
 	}
-	return current != nil && current.Revision > w.expected && bytes.Equal(current.Value, w.value)
+	return current != nil && current.Revision > w.Expected && bytes.Equal(current.Value, w.Value)
 }
 
 // untouched reports whether the store still holds what w is conditional on.
-func (w write) untouched(current *config.Object) bool {
+func (w Write) untouched(current *config.Object) bool {
 	if current == nil {
-		return w.expected == 0
+		return w.Expected == 0
 	}
-	return current.Revision == w.expected
+	return current.Revision == w.Expected
 }
 
 // result is the object that a write which took effect left.
-func (w write) result(current *config.Object) config.Object {
+func (w Write) result(current *config.Object) config.Object {
 	if current == nil {
-		return config.Object{Kind: w.id.Kind, Name: w.id.Name, Deleted: true}
+		return config.Object{Kind: w.ID.Kind, Name: w.ID.Name, Deleted: true}
 	}
 	return *current
 }
@@ -89,8 +65,8 @@
 // write makes a conditional change. An answer that was lost is followed by a
 // read, and the write is repeated only while the store holds the expected
 // revision.
-func (c *Client) write(ctx context.Context, w write) (config.Object, error) {
-	if len(w.value) > MaxValueSize {
+func (c *Client) write(ctx context.Context, w Write) (config.Object, error) {
+	if len(w.Value) > MaxValueSize {
 		return config.Object{}, ErrTooLarge
 	}
 	lost := false
@@ -111,30 +87,30 @@
 
 // tryWrite makes one try; lost tells whether the answer to an earlier try was
 // lost.
-func (c *Client) tryWrite(ctx context.Context, w write, lost bool) attempt {
-	res, err := c.roundTrip(ctx, w.call(c))
-	if err != nil || res.status >= http.StatusInternalServerError {
+func (c *Client) tryWrite(ctx context.Context, w Write, lost bool) attempt {
+	res, err := c.roundTrip(ctx, c.bounded(c.opts.Dialect.Write(w)))
+	if err != nil || res.Status >= http.StatusInternalServerError {
 		return c.readBack(ctx, w, retryReason(res, err))
 	}
-	switch res.status {
-	case http.StatusOK:
-		o, err := decode[config.Object](res)
+	switch {
+	case res.Status == http.StatusOK:
+		o, err := c.opts.Dialect.Object(w.ID, res)
 		if err != nil {
 			return c.readBack(ctx, w, "undecodable")
 		}
 		return attempt{final: true, object: o}
-	case http.StatusPreconditionFailed:
-		return conflict(w, res, lost)
-	case http.StatusTooManyRequests:
+	case c.opts.Dialect.Conflict(res):
+		return c.conflict(w, res, lost)
+	case res.Status == http.StatusTooManyRequests:
 		return attempt{reason: retryReason(res, nil)}
 	}
-	return attempt{final: true, err: errors.Errorf("platform: store refused the write: status %d", res.status)}
+	return attempt{final: true, err: errors.Errorf("platform: store refused the write: status %d", res.Status)}
 }
 
 // readBack finds out whether a write whose answer was lost took effect.
-func (c *Client) readBack(ctx context.Context, w write, reason string) attempt {
+func (c *Client) readBack(ctx context.Context, w Write, reason string) attempt {
 	c.metrics.retry("write", "read-back")
-	current, err := c.current(ctx, w.id)
+	current, err := c.current(ctx, w.ID)
 	if err != nil {
 		return attempt{final: true, err: uncertain(err)}
 	}
@@ -142,7 +118,7 @@
 		return attempt{final: true, object: w.result(current)}
 	}
 	if !w.untouched(current) {
-		return attempt{final: true, err: &ConflictError{ID: w.id, Expected: w.expected, Current: current}}
+		return attempt{final: true, err: &ConflictError{ID: w.ID, Expected: w.Expected, Current: current}}
 	}
 	return attempt{lost: true, reason: reason}
 }
@@ -160,16 +136,15 @@
 
 // conflict handles a failed precondition. After a lost answer it may be the
 // effect of this very write.
-func conflict(w write, res response, lost bool) attempt {
+func (c *Client) conflict(w Write, res Response, lost bool) attempt {
 	var current *config.Object
-	var o config.Object
-	if err := json.Unmarshal(res.body, &o); err == nil && o.Revision != 0 && !o.Deleted {
+	if o, err := c.opts.Dialect.Object(w.ID, res); err == nil && o.Revision != 0 && !o.Deleted {
 		current = &o
 	}
 	if lost && w.tookEffect(current) {
 		return attempt{final: true, object: w.result(current)}
 	}
-	return attempt{final: true, err: &ConflictError{ID: w.id, Expected: w.expected, Current: current}}
+	return attempt{final: true, err: &ConflictError{ID: w.ID, Expected: w.Expected, Current: current}}
 }
 
 // outcomeOf names what is known when the tries end: a try whose answer was
--- a/internal/platform/queries.go
+++ b/internal/platform/queries.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,19 +15,27 @@
 type Snapshot struct {
 	Revision uint64          `json:"revision"`
 	Objects  []config.Object `json:"objects"`
+	// Incomplete reports that the store has changed in a way that Objects does
+	// not show, so that the kinds are to be listed.
+	Incomplete bool `json:"-"`
 }
 
 // Get returns one object. The error is ErrNotFound or wraps ErrUnavailable.
 func (c *Client) Get(ctx context.Context, id config.ID) (config.Object, error) {
-	k := call{name: "get", method: http.MethodGet, path: objectPath(id), timeout: c.opts.CallTimeout}
-	res, err := c.query(ctx, k)
+	res, err := c.query(ctx, c.bounded(c.opts.Dialect.Get(id)))
 	if err != nil {
 		return config.Object{}, err
 	}
-	if res.status == http.StatusNotFound {
+	if res.Status == http.StatusNotFound {
 		return config.Object{}, ErrNotFound
 	}
-	return decode[config.Object](res)
+	return c.opts.Dialect.Object(id, res)
+}
+
+// bounded sets the time limit of a call that does not wait for a change.
+func (c *Client) bounded(k Call) Call {
+	k.Timeout = c.opts.CallTimeout
+	return k
 }
 
 // List returns all objects of the kinds; the revision is the lowest at which
@@ -49,13 +55,25 @@
 	return out, nil
 }
 
+// listKind reads all pages of one kind; the revision is that of the first.
 func (c *Client) listKind(ctx context.Context, kind string) (Snapshot, error) {
-	path := objectsPath + url.PathEscape(kind)
-	res, err := c.query(ctx, call{name: "list", method: http.MethodGet, path: path, timeout: c.opts.CallTimeout})
-	if err != nil {
-		return Snapshot{}, err
+	var out Snapshot
+	for after, first := "", true; first || after != ""; first = false {
+		res, err := c.query(ctx, c.bounded(c.opts.Dialect.List(kind, after)))
+		if err != nil {
+			return Snapshot{}, err
+		}
+		page, next, err := c.opts.Dialect.Page(kind, res)
+		if err != nil {
+			return Snapshot{}, err
+		}
+		if first {
+			out.Revision = page.Revision
+		}
+		out.Objects = append(out.Objects, page.Objects...)
+		after = next
 	}
-	return decode[Snapshot](res)
+	return out, nil
 }
 
 // Watch waits up to wait for objects of the kinds above the revision from and
@@ -63,23 +81,21 @@
 // changed. It makes one call. The error is ErrCompacted or wraps
 // ErrUnavailable.
 func (c *Client) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...string) (Snapshot, error) {
-	query := url.Values{"kind": kinds}
-	query.Set("from", strconv.FormatUint(from, decimal))
-	query.Set("waitMillis", strconv.FormatInt(wait.Milliseconds(), decimal))
-	k := call{name: "watch", method: http.MethodGet, path: watchPath, query: query, timeout: wait + c.opts.CallTimeout}
+	k := c.opts.Dialect.Watch(from, wait, kinds)
+	k.Timeout = wait + c.opts.CallTimeout
 	res, err := c.roundTrip(ctx, k)
 	if err != nil {
 		return Snapshot{}, unavailable(err)
 	}
-	if res.status == http.StatusGone {
+	if res.Status == http.StatusGone {
 		return Snapshot{}, ErrCompacted
 	}
-	return decode[Snapshot](res)
+	return c.opts.Dialect.Changes(from, res)
 }
 
 // query repeats a call until it is answered, its tries are used up or ctx
 // ends.
-func (c *Client) query(ctx context.Context, k call) (response, error) {
+func (c *Client) query(ctx context.Context, k Call) (Response, error) {
 	for attempt := 0; ; attempt++ {
 		res, err := c.roundTrip(ctx, k)
 		if err == nil && !res.retryable() {
@@ -87,20 +103,22 @@
 		}
 		reason := retryReason(res, err)
 		if attempt+1 >= c.opts.Attempts {
-			return response{}, unavailable(errors.Errorf("%s: %s", k.name, reason))
+			return Response{}, unavailable(errors.Errorf("%s: %s", k.Name, reason))
 		}
-		if err := c.pause(ctx, attempt, k.name, reason); err != nil {
-			return response{}, unavailable(err)
+		if err := c.pause(ctx, attempt, k.Name, reason); err != nil {
+			return Response{}, unavailable(err)
 		}
 	}
 }
 
-func decode[T any](res response) (T, error) {
+// Decode reads the JSON body of an answer with status 200. Errors wrap
+// ErrUnavailable.
+func Decode[T any](res Response) (T, error) {
 	var v, zero T
-	if res.status != http.StatusOK {
-		return zero, unavailable(errors.Errorf("status %d", res.status))
+	if res.Status != http.StatusOK {
+		return zero, unavailable(errors.Errorf("status %d", res.Status))
 	}
-	if err := json.Unmarshal(res.body, &v); err != nil {
+	if err := json.Unmarshal(res.Body, &v); err != nil {
 		return zero, unavailable(errors.Wrap(err, "decode answer"))
 	}
 	return v, nil
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -19,12 +19,11 @@
 	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 }
 
-// Call makes one jsonrpc2 request to the control address over mutual TLS on a
-// connection of its own and decodes the answer into result. ctx bounds all of
-// it.
+// Call makes one jsonrpc2 request to the control address on a connection of its
+// own and decodes the answer into result. The connection uses mutual TLS, or
+// plain TCP when m is nil. ctx bounds all of it.
 func Call(ctx context.Context, to netip.AddrPort, m *MutualTLS, method string, params, result any) error {
-	dialer := &tls.Dialer{Config: m.Client(ALPNControl)}
-	c, err := dialer.DialContext(ctx, "tcp", to.String())
+	c, err := dial(ctx, to, m)
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
@@ -36,6 +35,13 @@
 	return nil
 }
 
+func dial(ctx context.Context, to netip.AddrPort, m *MutualTLS) (net.Conn, error) {
+	if m == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+	}
+	return (&tls.Dialer{Config: m.Client(ALPNControl)}).DialContext(ctx, "tcp", to.String())
+}
+
 // noRequests ignores requests from the server's side.
 type noRequests struct{}
 
--- a/internal/wire/snapshot.go
+++ b/internal/wire/snapshot.go
@@ -21,4 +21,7 @@
 type SnapshotResult struct {
 	Page []byte `json:"page"`
 	Next int    `json:"next"` // 0 after the last page
+	// AgeMillis is how long ago the objects were the store's latest; -1 when
+	// that is not known.
+	AgeMillis int64 `json:"ageMillis"`
 }
