Reset flows that nobody owns, and meet again faster after a power loss

Change: an agent that saw its upstream's first announcement denies unknown flows by itself; a search asks by header alone; when all agents deny, the caller gets a reset; an agent resets its flows when its upstream ends or is replaced; agents ping the seeds until they know an entry.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -68,19 +68,28 @@
 	if n.snapshotFromAny(ctx, r, n.knownEntries()) || n.snapshotFromAny(ctx, r, n.opts.Seeds) {
 		return true
 	}
-	if n.opts.Store == nil {
+	patient := n.opts.Self.Role == membership.RoleAgent && failed < agentPatience
+	if n.opts.Store == nil || patient && len(n.opts.Seeds) > 0 {
 		return false
 	}
-	if n.snapshotFromAny(ctx, r, n.readRosters(ctx)) {
-		return true
+	if time.Since(n.rostersRead) >= n.opts.Joining.RosterPause {
+		n.rostersRead = time.Now()
+		if n.snapshotFromAny(ctx, r, n.readRosters(ctx)) {
+			return true
+		}
 	}
-	patient := n.opts.Self.Role == membership.RoleAgent && failed < agentPatience
-	if n.Config().Keys == nil && !patient {
+	if n.configMissing() && !patient {
 		n.readConfig(ctx)
 	}
 	return false
 }
 
+// configMissing reports whether the process has nothing to work with.
+func (n *Node) configMissing() bool {
+	c := n.Config()
+	return c.Keys == nil || n.opts.Keys != nil && n.opts.Self.Role == membership.RoleEntry && c.Routes == nil
+}
+
 func (n *Node) knownEntries() []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, m := range n.Members() {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -13,6 +13,10 @@
 	"crocusnotch/internal/membership"
 )
 
+// departedFor is how long a member that left or was declared dead is reported
+// as departed: a restart takes a second or two.
+const departedFor = 8 * time.Second
+
 // loop owns the core: it passes events to it and does what the core asks for.
 func (n *Node) loop(ctx context.Context) error {
 	ticker := time.NewTicker(n.opts.Timing.Gossip)
@@ -92,6 +96,8 @@
 		n.membersDirty = false
 		members := n.core.Members()
 		n.members.Store(&members)
+		departed := n.core.Departed(now.Add(-departedFor))
+		n.departed.Store(&departed)
 	}
 	n.published = now
 	n.notify()
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -78,6 +78,8 @@
 	Timeout    time.Duration // of one snapshot
 	BackoffMin time.Duration // between two searches
 	BackoffMax time.Duration
+	// RosterPause is the shortest time between two reads of the rosters.
+	RosterPause time.Duration
 }
 
 // Node is the part of the fleet that runs in one process. Its methods are safe
@@ -89,6 +91,8 @@
 	metrics  *metrics
 	events   *explain.Ring
 
+	rostersRead time.Time // owned by the search for peers
+
 	// Owned by the loop.
 	core         *membership.Core
 	builder      *config.Builder
@@ -106,6 +110,7 @@
 	config   atomic.Pointer[config.Fleet]
 	problems atomic.Pointer[[]config.Problem]
 	members  atomic.Pointer[[]membership.Record]
+	departed atomic.Pointer[[]membership.Record]
 	self     atomic.Pointer[membership.Record]
 	follow   atomic.Pointer[string]
 	lonely   atomic.Bool
@@ -134,12 +139,13 @@
 		commands: make(chan func(time.Time), commandsSize),
 		stopped:  make(chan struct{}),
 	}
-	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing})
+	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing, Seeds: o.coreSeeds()})
 	n.builder = config.NewBuilder()
 	n.fetching = map[config.ID]bool{}
 	n.config.Store(n.withKeys(config.Empty()))
 	n.problems.Store(&[]config.Problem{})
 	n.members.Store(&[]membership.Record{})
+	n.departed.Store(&[]membership.Record{})
 	self := n.core.Self()
 	n.self.Store(&self)
 	if err := n.open(); err != nil {
@@ -149,6 +155,15 @@
 	return n, nil
 }
 
+// coreSeeds returns the seeds that membership itself may ask: with keys of the
+// store a process can't read an answer before it has joined.
+func (o *Options) coreSeeds() []netip.AddrPort {
+	if o.Keys == nil {
+		return nil
+	}
+	return o.Seeds
+}
+
 func withDefaults(o Options) Options {
 	if o.Self.Incarnation == 0 {
 		o.Self.Incarnation = uint64(time.Now().UnixMilli())
@@ -273,6 +288,10 @@
 // slice must not be changed.
 func (n *Node) Members() []membership.Record { return *n.members.Load() }
 
+// Departed returns the final records that changed a short time ago. The slice
+// must not be changed.
+func (n *Node) Departed() []membership.Record { return *n.departed.Load() }
+
 // Self returns the process's own record as announced last.
 func (n *Node) Self() membership.Record { return *n.self.Load() }
 
--- a/internal/flow/segment.go
+++ b/internal/flow/segment.go
@@ -87,6 +87,7 @@
 	PurposeOpenIn Purpose = 2 // offers a new flow that nobody else takes: being busy is no reason to refuse
 	PurposeOwner  Purpose = 3 // belongs to a flow that the agent is known to own
 	PurposeSearch Purpose = 4 // belongs to a flow whose owner is searched for
+	PurposeAsk    Purpose = 5 // a header alone: asks whether the agent owns the flow
 )
 
 // Note is what an entry tells an agent with a packet.
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -21,6 +21,7 @@
 type Upstream struct {
 	last      Announcement
 	known     bool
+	first     bool // its first announcement came here
 	coldUntil time.Time
 	heard     time.Time
 }
@@ -54,6 +55,7 @@
 		a = gone
 	}
 	before := *u
+	u.first = !a.Gone && a.Sequence <= firstSequence || u.first && before.last.Born == a.Born
 	u.last, u.known, u.heard = a, true, now
 	u.coldUntil = now.Add(a.ColdLeft)
 	if !before.known || before.state(now) != u.state(now) || before.last.Born != a.Born || before.last.ID != a.ID {
@@ -62,6 +64,13 @@
 	return AnnouncedTaken
 }
 
+// firstSequence is the number of the first announcement of a start.
+const firstSequence = 1
+
+// FirstSeen reports whether the upstream's first announcement came here, so that
+// all its flows have passed here.
+func (u *Upstream) FirstSeen() bool { return u.known && u.first }
+
 // UpstreamState is the condition of an upstream.
 type UpstreamState string
 
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -50,6 +50,11 @@
 }
 
 func (c *Core) tickAgent(now time.Time) {
+	if len(c.table.entries) == 0 && len(c.seeds) > 0 {
+		c.pingSeeds()
+		c.agent.next = now
+		return
+	}
 	if now.Before(c.agent.next) {
 		return
 	}
@@ -72,6 +77,14 @@
 	}
 }
 
+// pingSeeds asks the seeds for their records, with which an agent that knows no
+// entry can send its heartbeats.
+func (c *Core) pingSeeds() {
+	for _, s := range c.seeds {
+		c.sendPing(c.nextProbe(), s, nil)
+	}
+}
+
 // auditEntry probes one of the known entries, so that the agent does not keep
 // entries that are gone. Those with unanswered probes come first.
 func (c *Core) auditEntry() {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -45,6 +45,7 @@
 	Self   Record
 	Rand   *rand.Rand
 	Timing Timing
+	Seeds  []netip.AddrPort // control addresses that an agent without entries pings
 }
 
 // Send is a message to be sent to a control address.
@@ -93,6 +94,7 @@
 // use.
 type Core struct {
 	self    Record
+	seeds   []netip.AddrPort
 	rand    *rand.Rand
 	timing  Timing
 	table   *table
@@ -115,7 +117,7 @@
 
 // New returns the state machine of one process.
 func New(o Options) *Core {
-	c := &Core{self: o.Self, rand: o.Rand, timing: o.Timing}
+	c := &Core{self: o.Self, seeds: o.Seeds, rand: o.Rand, timing: o.Timing}
 	if c.self.Boot == 0 {
 		c.self.Boot = c.self.Incarnation
 	}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -110,6 +110,20 @@
 	return out
 }
 
+// Departed returns the final records that became so, or were learned, after the
+// time since.
+func (c *Core) Departed(since time.Time) []Record {
+	var out []Record
+	for i := range c.table.buckets {
+		for _, m := range c.table.buckets[i] {
+			if m.State.Final() && m.changedAt.After(since) {
+				out = append(out, m.Record)
+			}
+		}
+	}
+	return out
+}
+
 // Objects returns the objects in force and the problems of the others.
 func (c *Core) Objects() ([]config.Object, []config.Problem) { return c.objects.inForce() }
 
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -34,7 +34,11 @@
 	case KindFresh:
 		c.receiveFresh(now, m)
 	}
+	alone := len(c.table.entries) == 0
 	c.mergeMessage(now, m)
+	if alone && len(c.table.entries) > 0 && c.self.Role == RoleAgent {
+		c.tickAgent(now)
+	}
 }
 
 // mergeMessage merges what a message carries and answers with what is newer
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -129,7 +129,7 @@
 	a.mu.Unlock()
 	a.deps.Log.Info("draining", "seconds", agentDrain.Seconds())
 	limit := time.Now().Add(min(agentDrain, a.settings.Grace()/2))
-	a.show(membership.StateDraining, 0)
+	a.show(membership.StateDraining, a.slots())
 	sleep(ctx, tickPeriod)
 	for time.Now().Before(limit) && ctx.Err() == nil && a.busy() > 0 {
 		sleep(ctx, idlePoll)
@@ -168,9 +168,21 @@
 	default:
 	}
 	a.mu.Lock()
-	state, slots := a.keeper.State(now), a.keeper.Last().Slots
+	state := a.keeper.State(now)
 	a.mu.Unlock()
-	a.show(recordState(state), slots)
+	a.show(recordState(state), a.slots())
+}
+
+// slots returns the slots of the upstream. An upstream that has ended has none,
+// which tells the fleet that its flows are gone.
+func (a *Agent) slots() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last := a.keeper.Last()
+	if last.Gone {
+		return 0
+	}
+	return last.Slots
 }
 
 func recordState(s flow.UpstreamState) membership.State {
@@ -187,9 +199,7 @@
 	a.mu.Lock()
 	before := a.shown
 	a.shown.State = state
-	if slots > 0 {
-		a.shown.Slots = uint16(min(slots, 1<<16-1))
-	}
+	a.shown.Slots = uint16(min(slots, 1<<16-1))
 	shown := a.shown
 	a.mu.Unlock()
 	if shown == before {
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -13,6 +13,8 @@
 	Note(packet []byte) flow.Note
 	// Clear removes notes and marks, as the sender wrote the packet.
 	Clear(packet []byte)
+	// AppendQuery makes a packet without data with the header and a note.
+	AppendQuery(b, packet []byte, n flow.Note) []byte
 	// AppendReset makes a packet that resets the caller's end of a flow.
 	AppendReset(b []byte, k flow.Key, seq uint32) []byte
 }
@@ -37,7 +39,8 @@
 	DecisionLookup   = "lookup"    // a home is asked for the owner
 	DecisionSearch   = "search"    // all agents are asked for the owner
 	DecisionFound    = "found"     // the owner was found
-	DecisionNotFound = "not-found" // nobody owns the flow
+	DecisionNotFound = "not-found" // nobody said that it owns the flow
+	DecisionLost     = "lost"      // every agent denied that it owns the flow: reset
 	DecisionMoved    = "moved"     // the owner does not hold the flow any more
 )
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -181,9 +181,9 @@
 		case <-changes:
 		}
 		members := e.fleet.Members()
-		v := b.build(time.Now(), e.fleet.Config(), members)
+		v := b.build(time.Now(), e.fleet.Config(), members, e.fleet.Departed())
 		e.mu.Lock()
-		e.router.SetView(v)
+		e.router.SetView(time.Now(), v)
 		for i := range members {
 			m := &members[i]
 			if before, known := incarnations[m.Addr]; known && before != m.Incarnation && m.Role == membership.RoleEntry {
@@ -202,6 +202,12 @@
 	e.send(e.data, packet, agent.AddrPort())
 }
 
+// Ask implements Outbox.
+func (e *Entry) Ask(agent flow.End, n flow.Note, packet []byte) {
+	e.scratch = e.deps.Codec.AppendQuery(e.scratch[:0], packet, n)
+	e.send(e.data, e.scratch, agent.AddrPort())
+}
+
 // Tell implements Outbox.
 func (e *Entry) Tell(entry flow.End, m *Message) {
 	e.scratch = m.Append(e.scratch[:0], e.keys)
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -50,8 +50,8 @@
 	born   int64    // start of the upstream that holds it, 0 when not known
 	seen   time.Time
 	opened time.Time
-	busy   bool // a request has no answer yet
-	asked  time.Time
+	busy   bool   // a request has no answer yet
+	ack    uint32 // last acknowledgement of the caller
 }
 
 // KeeperOptions configure a Keeper.
@@ -115,9 +115,28 @@
 // Flows returns the number of flows that are known.
 func (a *Keeper) Flows() int { return len(a.flows) }
 
-// Announce takes an announcement of the upstream.
+// Announce takes an announcement of the upstream. The flows of an upstream that
+// has ended are reset, so that their callers need not wait for a deadline.
 func (a *Keeper) Announce(now time.Time, n flow.Announcement) flow.Announced {
-	return a.upstream.Announce(now, n)
+	before := a.upstream.Last().Born
+	outcome := a.upstream.Announce(now, n)
+	last := a.upstream.Last()
+	if outcome == flow.AnnouncedChanged && before != 0 && (last.Gone || last.Born != before) {
+		a.endAll(before)
+	}
+	return outcome
+}
+
+// endAll resets the flows of the upstream that was started at born.
+func (a *Keeper) endAll(born int64) {
+	for k, f := range a.flows {
+		if f.born != born {
+			continue
+		}
+		a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened).Milliseconds()})
+		a.forget(k, f)
+		a.Out.Reset(k, f.ack)
+	}
 }
 
 // State returns the condition of the upstream.
@@ -133,6 +152,10 @@
 	a.noteReporter(now, from)
 	k := s.FromCaller()
 	f := a.flows[k]
+	if n.Purpose == flow.PurposeAsk {
+		a.answer(now, k, f, from, n)
+		return
+	}
 	if f != nil && a.ended(f) {
 		a.end(k, f, s)
 		return
@@ -145,14 +168,37 @@
 		a.unknown(now, k, from, n, packet)
 		return
 	}
-	f.origin, f.seen = from, now
+	f.origin, f.seen, f.ack = from, now, s.Ack
 	if s.Data > 0 && !f.busy && f.state != keptProbing {
-		f.busy, f.asked = true, now
+		f.busy = true
 		a.busy++
 	}
 	a.Out.ToUpstream(packet)
 }
 
+// answer tells an entry whether the flow is held here.
+func (a *Keeper) answer(now time.Time, k flow.Key, f *kept, from flow.End, n flow.Note) {
+	switch {
+	case f != nil && f.state == keptOpen && !a.ended(f):
+		f.origin = from
+		a.tellOwned(k, f)
+	case f == nil && (a.knowsAll(now) || n.Service != a.tag || a.deniedLately(now, k)):
+		a.notHeld(k, from, nil)
+	default:
+		a.Out.Tell(from, &Message{Kind: KindMayHold, Key: k, Load: a.load()})
+	}
+}
+
+// knowsAll reports whether all flows of the upstream have passed this process.
+func (a *Keeper) knowsAll(now time.Time) bool {
+	return now.Sub(a.Started) >= a.MaxAge || a.upstream.FirstSeen() || a.upstream.Last().Gone
+}
+
+func (a *Keeper) deniedLately(now time.Time, k flow.Key) bool {
+	at, denied := a.denied[k]
+	return denied && now.Sub(at) < probeMemory
+}
+
 // ended reports whether another upstream took the place of the one that held
 // the flow.
 func (a *Keeper) ended(f *kept) bool {
@@ -221,13 +267,10 @@
 	a.Out.Tell(to, &Message{Kind: KindRefused, Key: k, Reason: reason, Load: a.load(), Packet: packet})
 }
 
-// unknown handles a packet of a flow that the agent does not know. An agent that
-// started lately asks its upstream: one that has run for longer than a flow
-// lasts knows all of them.
+// unknown handles a packet of a flow that the agent does not know. Its upstream
+// is asked unless all of its flows have passed here.
 func (a *Keeper) unknown(now time.Time, k flow.Key, from flow.End, n flow.Note, packet []byte) {
-	at, denied := a.denied[k]
-	recent := now.Sub(a.Started) < a.MaxAge
-	if !recent || n.Service != a.tag || denied && now.Sub(at) < probeMemory {
+	if a.knowsAll(now) || n.Service != a.tag || a.deniedLately(now, k) {
 		a.notHeld(k, from, packet)
 		return
 	}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -24,7 +24,8 @@
 	KindLookup   Kind = 5 // entry to a home of the flow; carries a packet of it
 	KindUnknown  Kind = 6 // a home does not know the owner
 	KindRegister Kind = 7 // entry to a home: owners of flows
-	kindEnd      Kind = 8
+	KindMayHold  Kind = 8 // an agent can't tell without its upstream whether it holds the flow
+	kindEnd      Kind = 9
 )
 
 // Layout of a message in bytes.
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -25,13 +25,13 @@
 	staleAfter = 1800 * time.Millisecond
 	// readFirst is the shortest time from the start to the first read of the
 	// store; until then peers are asked.
-	readFirst = 200 * time.Millisecond
+	readFirst = 60 * time.Millisecond
 	// joinTimeout bounds one snapshot: a seed may be a dark instance.
 	joinTimeout = 600 * time.Millisecond
 	// joinBackoffMin and joinBackoffMax bound the pause between two searches for
 	// peers.
 	joinBackoffMin = 150 * time.Millisecond
-	joinBackoffMax = 2 * time.Second
+	joinBackoffMax = 300 * time.Millisecond
 )
 
 // Fleet is what entries and agents need of their fleet node.
@@ -40,6 +40,7 @@
 	Config() *config.Fleet
 	Fresh() time.Time
 	Members() []membership.Record
+	Departed() []membership.Record
 	Watch() <-chan struct{}
 	Update(change func(*membership.Record))
 	Follow(service string)
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -29,6 +29,14 @@
 	// maxQueue bounds the packets of one flow that wait for a search: a
 	// request of a few kilobytes.
 	maxQueue = 8
+	// settledAfter is the time without a change of the set of agents after which
+	// an entry takes it for complete: an agent that restarts is back sooner.
+	settledAfter = 500 * time.Millisecond
+	// parkedLife is the time after the last packet of a flow for which a search
+	// waits for the agents to settle.
+	parkedLife = 2 * time.Second
+	// stageParked marks a search that waits for that.
+	stageParked = flow.HomeCount + 1
 	// closedLife is how long a flow is kept after its idle time.
 	closedLife = 2 * time.Second
 	// sweepShare is the part of the flows that one tick looks through.
@@ -48,6 +56,8 @@
 type Outbox interface {
 	// Carry hands a caller's packet to an agent.
 	Carry(agent flow.End, n flow.Note, packet []byte)
+	// Ask asks an agent whether it owns the flow of a packet.
+	Ask(agent flow.End, n flow.Note, packet []byte)
 	// Tell sends a message to an entry.
 	Tell(entry flow.End, m *Message)
 	// Reset ends the caller's side of a flow.
@@ -61,6 +71,7 @@
 	stateOwned                       // owner holds the flow
 	stateSearching                   // the owner is asked for
 	stateLost                        // the last search found nobody
+	stateGone                        // nobody owns the flow
 )
 
 // routed is what an entry knows of one flow.
@@ -71,8 +82,10 @@
 	owner  flow.End
 	homes  flow.Homes
 	tried  []flow.End
-	held   []byte   // packet that a search is made with
-	queue  [][]byte // packets that came during the search
+	asked  int        // agents that a search asked
+	denied []flow.End // agents that said that they do not own the flow
+	held   []byte     // packet that a search is made with
+	queue  [][]byte   // packets that came during the search
 	seq    uint32
 	since  time.Time // start of the stage
 	opened time.Time
@@ -91,6 +104,7 @@
 	observe   Observer
 	maxAge    time.Duration
 	fresh     time.Time
+	changed   time.Time // last change of the set of agents
 }
 
 // NewRouter returns a router for an entry in the zone. maxAge is the age after
@@ -116,8 +130,11 @@
 
 // SetView puts another view in force. Owners of flows are told to entries that
 // became homes.
-func (r *Router) SetView(v *View) {
+func (r *Router) SetView(now time.Time, v *View) {
 	entriesChanged := !sameEnds(r.view.Entries, v.Entries)
+	if !sameKeys(r.view.Owners, v.Owners) {
+		r.changed = now
+	}
 	r.view = v
 	if !entriesChanged {
 		return
@@ -141,6 +158,18 @@
 	return true
 }
 
+func sameKeys(a, b map[flow.End]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k := range a {
+		if _, ok := b[k]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Forget lets homes that restarted hear of all flows again.
 func (r *Router) Forget(entry flow.End) {
 	for k, f := range r.flows {
@@ -166,6 +195,9 @@
 		r.flows[k] = f
 	}
 	f.seen, f.seq = now, s.Ack
+	if f.state == stateOwned && !r.mayOwn(f.owner) {
+		f.state, f.since = stateLost, time.Time{}
+	}
 	switch f.state {
 	case stateOwned, statePlacing:
 		r.out.Carry(f.owner, r.note(k, flow.PurposeOwner, f.owner), packet)
@@ -177,9 +209,19 @@
 		if now.Sub(f.since) >= searchPause {
 			r.startSearch(now, k, f, packet)
 		}
+	case stateGone:
+		if !s.Reset {
+			r.out.Reset(k, s.Ack)
+		}
 	}
 }
 
+// mayOwn reports whether the agent is there or went a short time ago.
+func (r *Router) mayOwn(agent flow.End) bool {
+	_, ok := r.view.Owners[agent]
+	return ok
+}
+
 func (r *Router) note(k flow.Key, p flow.Purpose, agent flow.End) flow.Note {
 	name := r.view.Owners[agent]
 	if !r.routeHas(k, name) {
@@ -208,7 +250,7 @@
 		r.noRoute(now, k, s)
 		return
 	}
-	if f == nil || f.state == stateLost || f.state == stateSearching {
+	if f == nil || f.state != stateOwned && f.state != statePlacing || f.state == stateOwned && !r.mayOwn(f.owner) {
 		f = &routed{opened: now}
 		r.flows[k] = f
 		delete(r.searching, k)
@@ -301,6 +343,8 @@
 		r.unknown(now, from, m)
 	case KindRegister:
 		r.registered(now, m)
+	case KindMayHold:
+		r.mayHold(from, m)
 	}
 }
 
@@ -365,7 +409,11 @@
 // notHeld looks elsewhere for a flow that an agent does not hold.
 func (r *Router) notHeld(now time.Time, from flow.End, m *Message) {
 	f := r.flows[m.Key]
-	if f == nil || f.state == stateSearching || f.state == stateLost || f.owner != from {
+	if f != nil && f.state == stateSearching && f.stage == flow.HomeCount {
+		r.denied(now, from, m.Key, f)
+		return
+	}
+	if f == nil || f.owner != from || len(m.Packet) == 0 {
 		return
 	}
 	r.observe(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened).Milliseconds()})
@@ -376,6 +424,47 @@
 	r.askAgents(now, m.Key, f, from)
 }
 
+// denied counts an agent that does not own a flow. When all have said so the
+// caller is told, so that it need not wait for its deadline.
+func (r *Router) denied(now time.Time, from flow.End, k flow.Key, f *routed) {
+	for _, d := range f.denied {
+		if d == from {
+			return
+		}
+	}
+	f.denied = append(f.denied, from)
+	if len(f.denied) < f.asked {
+		return
+	}
+	delete(r.searching, k)
+	if !r.knowsAgents(now) {
+		// Asks again when the set of agents has settled.
+		r.observe(Decision{What: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.asked})
+		f.stage = stageParked
+		r.searching[k] = f
+		return
+	}
+	f.held, f.queue = nil, nil
+	r.observe(Decision{What: DecisionLost, Key: k, Tries: f.asked})
+	f.state = stateGone
+	r.out.Reset(k, f.seq)
+}
+
+// knowsAgents reports whether no agent has come or gone for a while, so that the
+// known ones are all that can own a flow.
+func (r *Router) knowsAgents(now time.Time) bool {
+	return !r.changed.IsZero() && now.Sub(r.changed) >= settledAfter
+}
+
+// mayHold gives the packet of a search to an agent whose upstream has to tell.
+func (r *Router) mayHold(from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || len(f.held) == 0 {
+		return
+	}
+	r.out.Carry(from, r.note(m.Key, flow.PurposeSearch, from), f.held)
+}
+
 // startSearch asks the homes of the flow, one after the other, then all agents.
 func (r *Router) startSearch(now time.Time, k flow.Key, f *routed, packet []byte) {
 	f.state, f.stage = stateSearching, 0
@@ -386,7 +475,7 @@
 
 func (r *Router) askNext(now time.Time, k flow.Key, f *routed) {
 	homes := flow.HomesOf(k, r.view.Entries)
-	for ; int(f.stage) < flow.HomeCount; f.stage++ {
+	for ; f.stage < flow.HomeCount; f.stage++ {
 		h := homes[f.stage]
 		if h.IsZero() || h == r.view.Self {
 			continue
@@ -399,20 +488,19 @@
 	r.askAgents(now, k, f, flow.End{})
 }
 
-// askAgents gives a copy of the held packet to all agents that may own the
-// flow, except one.
+// askAgents asks all agents that may own the flow, except one.
 func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
 	f.since, f.stage = now, flow.HomeCount
 	all := len(r.view.Owners) <= searchAll
-	asked := 0
+	f.asked, f.denied = 0, f.denied[:0]
 	for agent, service := range r.view.Owners {
 		if agent == except || !all && !r.routeHas(k, service) {
 			continue
 		}
-		asked++
-		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
+		f.asked++
+		r.out.Ask(agent, r.note(k, flow.PurposeAsk, agent), f.held)
 	}
-	r.observe(Decision{What: DecisionSearch, Key: k, Tries: asked})
+	r.observe(Decision{What: DecisionSearch, Key: k, Tries: f.asked})
 }
 
 // lookup answers another entry that asks for the owner of a flow, and hands the
@@ -429,7 +517,7 @@
 
 func (r *Router) unknown(now time.Time, from flow.End, m *Message) {
 	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || int(f.stage) >= flow.HomeCount {
+	if f == nil || f.state != stateSearching || f.stage >= flow.HomeCount {
 		return
 	}
 	if flow.HomesOf(m.Key, r.view.Entries)[f.stage] != from {
@@ -459,10 +547,14 @@
 // Tick goes on with searches, sends registrations and forgets old flows.
 func (r *Router) Tick(now time.Time) {
 	for k, f := range r.searching {
+		if f.stage == stageParked {
+			r.resume(now, k, f)
+			continue
+		}
 		if now.Sub(f.since) < lookupWait {
 			continue
 		}
-		if int(f.stage) < flow.HomeCount {
+		if f.stage < flow.HomeCount {
 			f.stage++
 			r.askNext(now, k, f)
 			continue
@@ -475,6 +567,18 @@
 	r.sweep(now)
 }
 
+// resume searches again for a flow that all agents known before have denied.
+func (r *Router) resume(now time.Time, k flow.Key, f *routed) {
+	if now.Sub(f.seen) > parkedLife {
+		delete(r.searching, k)
+		f.state, f.held, f.queue = stateLost, nil, nil
+		return
+	}
+	if r.knowsAgents(now) {
+		r.askAgents(now, k, f, flow.End{})
+	}
+}
+
 func (r *Router) flush() {
 	for home, pairs := range r.pending {
 		for len(pairs) > 0 {
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -9,9 +9,13 @@
 	"crocusnotch/internal/membership"
 )
 
+// ownerMemory is how long an agent that left or was declared dead may still come
+// back with the flows of its upstream: a restart takes a second or two.
+const ownerMemory = 8 * time.Second
+
 // viewBuilder makes views from the members and the configuration. It remembers
-// agents that are gone as long as flows may last, because an agent that restarts
-// holds the same flows as before.
+// agents that went a short time ago, because an agent that restarts holds the
+// same flows as before.
 type viewBuilder struct {
 	settings *config.Passthrough
 	self     flow.End
@@ -27,7 +31,7 @@
 	return &viewBuilder{settings: s, self: flow.EndOf(s.Data), owners: map[flow.End]pastOwner{}}
 }
 
-func (b *viewBuilder) build(now time.Time, fleet *config.Fleet, members []membership.Record) *View {
+func (b *viewBuilder) build(now time.Time, fleet *config.Fleet, members, departed []membership.Record) *View {
 	v := &View{
 		Self:    b.self,
 		Entries: []flow.End{b.self},
@@ -45,11 +49,28 @@
 			v.Entries = append(v.Entries, flow.EndOf(m.Addr))
 		}
 	}
+	for i := range departed {
+		b.depart(now, &departed[i])
+	}
 	slices.SortFunc(v.Entries, func(x, y flow.End) int { return slices.Compare(x[:], y[:]) })
 	b.addOwners(now, v)
 	return v
 }
 
+// depart keeps an agent that may come back; one whose upstream has ended holds
+// no flow.
+func (b *viewBuilder) depart(now time.Time, m *membership.Record) {
+	addr := flow.EndOf(m.Addr)
+	_, known := b.owners[addr]
+	switch {
+	case m.Role != membership.RoleAgent:
+	case m.Slots == 0:
+		delete(b.owners, addr)
+	case !known:
+		b.owners[addr] = pastOwner{service: m.Service, seen: now}
+	}
+}
+
 // addAgent adds an agent that may take new flows.
 func (b *viewBuilder) addAgent(v *View, m *membership.Record) {
 	zone := b.settings.ZoneName(m.Zone)
@@ -71,7 +92,7 @@
 		names[config.ServiceID(name)] = name
 	}
 	for addr, o := range b.owners {
-		if now.Sub(o.seen) > b.settings.FlowMax() {
+		if now.Sub(o.seen) > ownerMemory {
 			delete(b.owners, addr)
 			continue
 		}
