Describe passed-through flows and check the templates of their settings

Cause: the design note, glossary and readme lacked the second transport, and nothing checked that the platform's templates give valid settings.

--- a/check.sh
+++ b/check.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 
-unformatted=$(go tool gofumpt -l cmd internal)
+unformatted=$(go tool gofumpt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
   printf 'not formatted by gofumpt:\n%s\n' "$unformatted"
   exit 1
--- /dev/null
+++ b/internal/docstest/deploy_test.go
@@ -0,0 +1,56 @@
+package docstest
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/config"
+)
+
+var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+
+// fields are values as the platform fills them in.
+var fields = map[string]string{
+	"Zone|json":                `"bogota-a"`,
+	"Zones|json":               `{"bogota-a":"andina"}`,
+	"Ip":                       "10.1.0.10",
+	"InternalPortRange.0":      "7720",
+	"InternalPortRange.1":      "7735",
+	"Listen.ReadyAddr|json":    `"10.1.0.10:8167"`,
+	"Listen.DatagramAddr|json": `"10.1.0.10:8172"`,
+	"Listen.outbound|json":     `"10.1.0.13:8162"`,
+	"Listen.Control|json":      `"10.1.0.10:8166"`,
+	"platform.Address":         "10.200.1.7:8169",
+	"Seeds|json":               `["10.1.0.10:8166","10.2.0.40:8166"]`,
+	"Bounds.FlowMaxS":          "60",
+	"Bounds.GraceS":            "6",
+	"Service|json":             `"huvo11a"`,
+	"app|json":                 `"10.1.0.13:8165"`,
+	"HeartbeatIntervalMs":      "770",
+}
+
+// The templates of the settings give valid settings on both classes of
+// instances.
+func TestTemplatesOfSettings(t *testing.T) {
+	for name, settings := range map[string]any{
+		"entry.json": &config.PassthroughEntry{}, "agent.json": &config.PassthroughAgent{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile(filepath.Join(deployDir, name))
+			is.NoErr(err)
+			filled := placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
+				value, known := fields[p[2:len(p)-2]]
+				if !known {
+					t.Errorf("unknown placeholder %s", p)
+				}
+				return value
+			})
+			is.NoErr(config.Decode([]byte(filled), settings))
+		})
+	}
+}
--- a/internal/docstest/docs_test.go
+++ b/internal/docstest/docs_test.go
@@ -16,6 +16,9 @@
 const (
 	docsDir = "../../docs"
 	codeDir = ".."
+
+	platformDir = "../../platform"
+	deployDir   = "../../deploy"
 )
 
 var exampleBlock = regexp.MustCompile("(?s)<!-- example: (\\w+) -->\n```json\n(.*?)```")
@@ -31,6 +34,10 @@
 		return &config.Agent{}
 	case "control":
 		return &config.Control{}
+	case "passthrough-entry":
+		return &config.PassthroughEntry{}
+	case "passthrough-agent":
+		return &config.PassthroughAgent{}
 	}
 	return nil
 }
@@ -66,11 +73,13 @@
 func TestTestsNamedInDocsExist(t *testing.T) {
 	is := is.New(t)
 	known := map[string]bool{}
-	is.NoErr(eachFile(codeDir, "_test.go", func(_ string, text []byte) {
-		for _, m := range testFunc.FindAllSubmatch(text, -1) {
-			known[string(m[1])] = true
-		}
-	}))
+	for _, dir := range []string{codeDir, platformDir} {
+		is.NoErr(eachFile(dir, "_test.go", func(_ string, text []byte) {
+			for _, m := range testFunc.FindAllSubmatch(text, -1) {
+				known[string(m[1])] = true
+			}
+		}))
+	}
 	named := 0
 	is.NoErr(eachFile(docsDir, ".md", func(path string, text []byte) {
 		for _, name := range testName.FindAllString(string(text), -1) {
