Count placement, answers and store calls by their time, and show ages

Tests pass as before. Conclusion: an engineer sees how old the configuration and the announcement are.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -62,8 +62,13 @@
 		Silence: silentPeriods * time.Duration(s.AnnounceMillis) * time.Millisecond,
 		Codec:   d.Codec,
 		Out:     a,
-		Observe: a.counters.observer(d.Log, started),
+		Observe: a.counters.observer(d.Log),
+
+		Answered: func(d time.Duration) { a.counters.answers.Observe(d.Seconds()) },
 	})
+	a.counters.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.flows()) })
+	a.counters.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.busy()) })
+	a.counters.gauge("announcement_age_seconds", "Time since the upstream's last announcement.", a.announcementAge)
 	if a.data, err = d.listen(s.Data); err != nil {
 		return nil, err
 	}
@@ -137,6 +142,18 @@
 	a.fleet.Leave(ctx)
 }
 
+func (a *Agent) flows() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Flows()
+}
+
+func (a *Agent) announcementAge() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.keeper.Heard()).Seconds()
+}
+
 func (a *Agent) busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -1,6 +1,10 @@
 package passthrough
 
-import "crocusnotch/internal/flow"
+import (
+	"time"
+
+	"crocusnotch/internal/flow"
+)
 
 // Codec reads and writes packets of flows.
 type Codec interface {
@@ -26,7 +30,10 @@
 	Key    flow.Key
 	Agent  flow.End
 	Tries  int
-	Age    int64 // milliseconds since the flow was first seen
+	Age    time.Duration // since the flow was first seen here
+	// Version is that of the routes the decision was made with; agents have no
+	// routes.
+	Version uint64
 }
 
 // Decisions of entries.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -55,7 +55,12 @@
 	}
 	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: make(chan struct{})}
 	e.counters = newCounters(d.Registry)
-	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.started))
+	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log))
+	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
+	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
+	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
+		return float64(e.fleet.Config().Version)
+	})
 	if e.callers, err = d.listen(s.Fabric); err != nil {
 		return nil, err
 	}
@@ -116,6 +121,14 @@
 	e.fleet.Leave(ctx)
 }
 
+func (e *Entry) flows() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.router.Flows()
+}
+
+func (e *Entry) configurationAge() float64 { return time.Since(e.fleet.Fresh()).Seconds() }
+
 func (e *Entry) readFailed() { e.counters.drop(dropRead) }
 
 func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) {
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -13,19 +12,27 @@
 
 // counters are the metrics of an entry or an agent.
 type counters struct {
+	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec
 	dropped   *prometheus.CounterVec
-	packets   *prometheus.CounterVec
+	placement prometheus.Histogram
+	answers   prometheus.Histogram
 }
 
+// latencyBuckets run from a hop inside a zone to the longest deadline of a
+// request, in seconds.
+var latencyBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
 func newCounters(r *prometheus.Registry) *counters {
 	c := &counters{
+		registry:  r,
 		decisions: counterVec("decisions_total", "Decisions about flows by kind and reason.", "decision", "reason"),
 		dropped:   counterVec("dropped_total", "Datagrams dropped by reason.", "reason"),
-		packets:   counterVec("packets_total", "Datagrams by direction.", "direction"),
+		placement: histogram("placement_seconds", "Time from a flow's first packet here until its owner is known."),
+		answers:   histogram("answer_seconds", "Time from a request to the first packet of its answer."),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.packets)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers)
 	}
 	return c
 }
@@ -36,6 +43,21 @@
 	}, labels)
 }
 
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: latencyBuckets,
+	})
+}
+
+func (c *counters) gauge(name, help string, read func() float64) {
+	if c.registry == nil {
+		return
+	}
+	c.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
+	}, read))
+}
+
 // Reasons of dropped datagrams.
 const (
 	dropMalformed = "malformed"
@@ -47,13 +69,15 @@
 func (c *counters) drop(reason string) { c.dropped.WithLabelValues(reason).Inc() }
 
 // observer logs and counts decisions.
-func (c *counters) observer(log *slog.Logger, start time.Time) Observer {
-	_ = start
+func (c *counters) observer(log *slog.Logger) Observer {
 	return func(d Decision) {
 		c.decisions.WithLabelValues(d.What, d.Reason).Inc()
+		if d.What == DecisionOwned || d.What == DecisionFound {
+			c.placement.Observe(d.Age.Seconds())
+		}
 		log.Info(
-			"flow", "decision", d.What, "reason", d.Reason, "flow", d.Key.String(),
-			"agent", d.Agent.String(), "tries", d.Tries, "age_ms", d.Age,
+			"flow", "decision", d.What, "reason", d.Reason, "flow", d.Key.String(), "agent", d.Agent.String(),
+			"tries", d.Tries, "age_ms", d.Age.Milliseconds(), "version", d.Version,
 		)
 	}
 }
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -52,8 +52,9 @@
 	born   int64    // start of the upstream that holds it, 0 when not known
 	seen   time.Time
 	opened time.Time
-	busy   bool   // a request has no answer yet
-	ack    uint32 // last acknowledgement of the caller
+	busy   bool      // a request has no answer yet
+	asked  time.Time // start of that request
+	ack    uint32    // last acknowledgement of the caller
 }
 
 // KeeperOptions configure a Keeper.
@@ -65,6 +66,8 @@
 	Codec   Codec
 	Out     KeeperOutbox
 	Observe Observer
+	// Answered takes the time from a request to the first packet of its answer.
+	Answered func(time.Duration)
 }
 
 // Keeper is the state machine of an agent: it stands between the entries and
@@ -136,7 +139,7 @@
 		if f.born != born {
 			continue
 		}
-		a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened).Milliseconds()})
+		a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened)})
 		a.forget(k, f)
 		a.Out.Reset(k, f.ack)
 	}
@@ -145,6 +148,9 @@
 // State returns the condition of the upstream.
 func (a *Keeper) State(now time.Time) flow.UpstreamState { return a.upstream.State(now, a.Silence) }
 
+// Heard returns when the last announcement came.
+func (a *Keeper) Heard() time.Time { return a.upstream.Heard() }
+
 // Last returns the upstream's last announcement.
 func (a *Keeper) Last() flow.Announcement { return a.upstream.Last() }
 
@@ -173,7 +179,7 @@
 	}
 	f.origin, f.seen, f.ack = from, now, s.Ack
 	if s.Data > 0 && !f.busy && f.state != keptProbing {
-		f.busy = true
+		f.busy, f.asked = true, now
 		a.busy++
 	}
 	a.Out.ToUpstream(packet)
@@ -210,7 +216,7 @@
 
 // end resets a flow whose upstream has ended.
 func (a *Keeper) end(k flow.Key, f *kept, s *flow.Segment) {
-	a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened).Milliseconds()})
+	a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened)})
 	a.forget(k, f)
 	if !s.Reset {
 		a.Out.Reset(k, s.Ack)
@@ -306,7 +312,8 @@
 		a.tellOwned(k, f)
 	}
 	f.seen = now
-	if s.Data > 0 {
+	if s.Data > 0 && f.busy {
+		a.Answered(now.Sub(f.asked))
 		a.answered(f)
 	}
 	if s.Reset {
@@ -337,7 +344,7 @@
 		}
 		return
 	}
-	a.Observe(Decision{What: DecisionGone, Key: k, Agent: f.origin, Age: now.Sub(f.opened).Milliseconds()})
+	a.Observe(Decision{What: DecisionGone, Key: k, Agent: f.origin, Age: now.Sub(f.opened)})
 	a.forget(k, f)
 	a.denied[k] = now
 	a.notHeld(k, f.origin, packet)
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -259,13 +259,19 @@
 	r.place(now, k, f, route, packet, flow.RefusalNone)
 }
 
+// report adds the version of the routes to a decision.
+func (r *Router) report(d Decision) {
+	d.Version = r.view.Fleet.Version
+	r.observe(d)
+}
+
 // noRoute answers an opening packet for an address that is no route.
 func (r *Router) noRoute(now time.Time, k flow.Key, _ *flow.Segment) {
 	if now.Sub(r.fresh) > freshConfig {
-		r.observe(Decision{What: DecisionNoRoute, Reason: "configuration-old", Key: k})
+		r.report(Decision{What: DecisionNoRoute, Reason: "configuration-old", Key: k})
 		return
 	}
-	r.observe(Decision{What: DecisionNoRoute, Reason: "reset", Key: k})
+	r.report(Decision{What: DecisionNoRoute, Reason: "reset", Key: k})
 	r.out.Reset(k, 0)
 }
 
@@ -290,7 +296,7 @@
 	}
 	f.state, f.owner, f.since = statePlacing, agent.Addr, now
 	f.tried = append(f.tried, agent.Addr)
-	r.observe(Decision{What: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
+	r.report(Decision{What: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
 	r.out.Carry(agent.Addr, flow.Note{Purpose: purpose, Service: config.ServiceTag(service)}, packet)
 }
 
@@ -301,7 +307,7 @@
 	if last == flow.RefusalNone {
 		reason = "no-agent"
 	}
-	r.observe(Decision{What: DecisionNobody, Reason: reason, Key: k, Tries: len(f.tried)})
+	r.report(Decision{What: DecisionNobody, Reason: reason, Key: k, Tries: len(f.tried)})
 	f.state, f.owner, f.since = stateLost, flow.End{}, time.Time{}
 	if f.copies < lastCopy {
 		return
@@ -350,7 +356,7 @@
 	if f.state != statePlacing {
 		what = DecisionFound
 	}
-	r.observe(Decision{What: what, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.opened).Milliseconds()})
+	r.report(Decision{What: what, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.opened)})
 	delete(r.searching, m.Key)
 	if f.state == stateSearching && f.stage >= flow.HomeCount && len(f.held) > 0 && !f.sounded {
 		r.out.Carry(m.Owner, r.note(m.Key, flow.PurposeOwner, m.Owner), f.held)
@@ -382,7 +388,7 @@
 
 func (r *Router) refused(now time.Time, from flow.End, m *Message) {
 	f := r.flows[m.Key]
-	r.observe(Decision{What: DecisionRefused, Reason: m.Reason.String(), Key: m.Key, Agent: from})
+	r.report(Decision{What: DecisionRefused, Reason: m.Reason.String(), Key: m.Key, Agent: from})
 	if f == nil || f.state != statePlacing || f.owner != from {
 		return
 	}
@@ -404,7 +410,7 @@
 	if f == nil || f.owner != from || len(m.Packet) == 0 {
 		return
 	}
-	r.observe(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened).Milliseconds()})
+	r.report(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened)})
 	f.owner = flow.End{}
 	f.held = append(f.held[:0], m.Packet...)
 	f.state, f.stage = stateSearching, flow.HomeCount
@@ -427,13 +433,13 @@
 	delete(r.searching, k)
 	if !r.knowsAgents(now) {
 		// Asks again when the set of agents has settled.
-		r.observe(Decision{What: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.asked})
+		r.report(Decision{What: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.asked})
 		f.stage = stageParked
 		r.searching[k] = f
 		return
 	}
 	f.held, f.queue = nil, nil
-	r.observe(Decision{What: DecisionLost, Key: k, Tries: f.asked})
+	r.report(Decision{What: DecisionLost, Key: k, Tries: f.asked})
 	f.state = stateGone
 	r.out.Reset(k, f.seq)
 }
@@ -483,7 +489,7 @@
 			continue
 		}
 		f.since = now
-		r.observe(Decision{What: DecisionLookup, Key: k, Agent: h, Tries: int(f.stage) + 1})
+		r.report(Decision{What: DecisionLookup, Key: k, Agent: h, Tries: int(f.stage) + 1})
 		r.out.Tell(h, &Message{Kind: KindLookup, Key: k, Packet: f.held})
 		return
 	}
@@ -502,7 +508,7 @@
 		f.asked++
 		r.out.Ask(agent, r.note(k, flow.PurposeAsk, agent), f.held)
 	}
-	r.observe(Decision{What: DecisionSearch, Key: k, Tries: f.asked})
+	r.report(Decision{What: DecisionSearch, Key: k, Tries: f.asked})
 }
 
 // lookup answers another entry that asks for the owner of a flow, and hands the
@@ -562,7 +568,7 @@
 			r.askNext(now, k, f)
 			continue
 		}
-		r.observe(Decision{What: DecisionNotFound, Key: k, Age: now.Sub(f.opened).Milliseconds()})
+		r.report(Decision{What: DecisionNotFound, Key: k, Age: now.Sub(f.opened)})
 		delete(r.searching, k)
 		f.state, f.held, f.queue = stateLost, nil, nil
 	}
--- a/internal/passthrough/world_test.go
+++ b/internal/passthrough/world_test.go
@@ -140,7 +140,7 @@
 func (a *worldAgent) start() {
 	a.keeper = NewKeeper(KeeperOptions{
 		Service: a.service, Started: a.w.now, MaxAge: worldFlowMax, Silence: worldSilence,
-		Codec: codec, Out: a, Observe: func(Decision) {},
+		Codec: codec, Out: a, Observe: func(Decision) {}, Answered: func(time.Duration) {},
 	})
 	a.keeper.Configure(flow.Limits{}, a.w.fleet.Idle, a.w.fleet.ZonesOut[a.zone])
 	a.up = true
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -115,6 +115,8 @@
 	if err != nil {
 		return Response{}, err
 	}
+	start := time.Now()
+	defer func() { c.metrics.seconds.WithLabelValues(k.Name).Observe(time.Since(start).Seconds()) }()
 	res, err := c.opts.HTTP.Do(req)
 	if err != nil {
 		c.metrics.call(k.Name, "lost")
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -9,15 +9,24 @@
 type metrics struct {
 	calls   *prometheus.CounterVec
 	retries *prometheus.CounterVec
+	seconds *prometheus.HistogramVec
 }
 
+// callBuckets run from an answer of the store's to its longest watch, in
+// seconds.
+var callBuckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 30}
+
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
 		calls:   storeCounter("calls_total", "Calls to the platform's store by method and result.", "result"),
 		retries: storeCounter("retries_total", "Repeated calls to the platform's store by method and reason.", "reason"),
 	}
+	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: telemetry.Namespace, Subsystem: "store", Name: "call_seconds",
+		Help: "Duration of calls to the platform's store by method, waiting included.", Buckets: callBuckets,
+	}, []string{"method"})
 	if r != nil {
-		r.MustRegister(m.calls, m.retries)
+		r.MustRegister(m.calls, m.retries, m.seconds)
 	}
 	return m
 }
