Take silent upstreams for ended, and abandoned requests for no load

Change: an upstream that gives no sign of life for three announcements of the agent's own running time has ended; a request is load for 5 s at most, and until its caller closes.

--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -60,6 +60,7 @@
 	DecisionGone   = "gone"    // the upstream does not hold the flow
 	DecisionEnded  = "ended"   // the upstream that held the flow has ended: reset
 	DecisionFull   = "bounced" // the upstream returned an opening packet
+	DecisionSilent = "silent"  // the upstream gives no sign of life: its flows are reset
 )
 
 // Observer takes decisions. It must not block.
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -20,6 +20,9 @@
 	reporterLife = 3 * time.Second
 	// maxReporters bounds the entries that hear of the load.
 	maxReporters = 16
+	// busyLife is the time after which a request without an answer no longer
+	// counts as load: its caller has given up, deadlines are 1 to 4 s.
+	busyLife = 5 * time.Second
 	// loadShare is the weight of the present in the averaged load, for each
 	// tick of 25 ms: a time constant of about half a second.
 	loadShare = 0.05
@@ -87,6 +90,10 @@
 	average   float64
 	reporters map[flow.End]*reporter
 	swept     time.Time
+	// quiet counts the ticks since the upstream's last sign of life. Ticks stand
+	// still while the process does, so its own pause is not the upstream's.
+	quiet  int
+	silent bool // the upstream is taken for ended
 }
 
 // reporter is an entry that hears of the load.
@@ -127,6 +134,9 @@
 	before := a.upstream.Last().Born
 	outcome := a.upstream.Announce(now, n)
 	last := a.upstream.Last()
+	if outcome != flow.AnnouncedLate {
+		a.lives()
+	}
 	if outcome == flow.AnnouncedChanged && before != 0 && (last.Gone || last.Born != before) {
 		a.endAll(before)
 	}
@@ -146,7 +156,15 @@
 }
 
 // State returns the condition of the upstream.
-func (a *Keeper) State(now time.Time) flow.UpstreamState { return a.upstream.State(now, a.Silence) }
+func (a *Keeper) State(now time.Time) flow.UpstreamState {
+	if a.silent {
+		return flow.UpstreamAbsent
+	}
+	return a.upstream.State(now, a.Silence)
+}
+
+// lives notes a sign of life of the upstream.
+func (a *Keeper) lives() { a.quiet, a.silent = 0, false }
 
 // Heard returns when the last announcement came.
 func (a *Keeper) Heard() time.Time { return a.upstream.Heard() }
@@ -178,7 +196,10 @@
 		return
 	}
 	f.origin, f.seen, f.ack = from, now, s.Ack
-	if s.Data > 0 && !f.busy && f.state != keptProbing {
+	switch {
+	case s.Fin || s.Reset:
+		a.answered(f) // the caller waits for nothing any more
+	case s.Data > 0 && !f.busy && f.state != keptProbing:
 		f.busy, f.asked = true, now
 		a.busy++
 	}
@@ -200,7 +221,7 @@
 
 // knowsAll reports whether all flows of the upstream have passed this process.
 func (a *Keeper) knowsAll(now time.Time) bool {
-	return now.Sub(a.Started) >= a.MaxAge || a.upstream.FirstSeen() || a.upstream.Last().Gone
+	return now.Sub(a.Started) >= a.MaxAge || a.upstream.FirstSeen() || a.upstream.Last().Gone || a.silent
 }
 
 func (a *Keeper) deniedLately(now time.Time, k flow.Key) bool {
@@ -295,6 +316,7 @@
 // FromUpstream takes a packet that the upstream sent. anyEntry is told of flows
 // that were not known.
 func (a *Keeper) FromUpstream(now time.Time, s *flow.Segment, packet []byte, anyEntry flow.End) {
+	a.lives()
 	if s.Bounced {
 		a.bounced(now, s, packet)
 		return
@@ -367,6 +389,7 @@
 // Tick averages and reports the load and forgets old flows.
 func (a *Keeper) Tick(now time.Time) {
 	a.average += (float64(a.busy) - a.average) * loadShare
+	a.listen()
 	for _, entry := range slices.SortedFunc(maps.Keys(a.reporters), flow.End.Compare) {
 		r := a.reporters[entry]
 		if now.Sub(r.seen) > reporterLife {
@@ -384,6 +407,19 @@
 	}
 }
 
+// listen takes an upstream that has given no sign of life for long for ended.
+func (a *Keeper) listen() {
+	a.quiet++
+	if a.silent || time.Duration(a.quiet)*tickPeriod <= a.Silence {
+		return
+	}
+	a.silent = true
+	a.Observe(Decision{What: DecisionSilent, Tries: len(a.flows)})
+	if born := a.upstream.Last().Born; born != 0 {
+		a.endAll(born)
+	}
+}
+
 func (a *Keeper) sweep(now time.Time) {
 	for k, f := range a.flows {
 		limit := a.idle + closedLife
@@ -393,6 +429,9 @@
 		if now.Sub(f.seen) > limit {
 			a.forget(k, f)
 		}
+		if f.busy && now.Sub(f.asked) > busyLife {
+			a.answered(f)
+		}
 	}
 	for k, at := range a.denied {
 		if now.Sub(at) > probeMemory {
--- /dev/null
+++ b/internal/passthrough/keeper_test.go
@@ -0,0 +1,81 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/flow"
+)
+
+// An upstream went without a word, as when it is dark: its callers are told, and
+// the agent answers searches without it.
+func TestSilentUpstreamIsTakenForEnded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 2, 6)
+	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+	is.True(c.open)
+	a := w.holder(c)
+	a.upstream.dead = true
+	w.advance(worldSilence - time.Second)
+	is.True(!c.reset) // a late announcement is no proof
+	w.advance(2 * time.Second)
+	is.True(c.reset)
+	is.Equal(a.keeper.State(w.now), flow.UpstreamAbsent)
+	is.True(a.keeper.knowsAll(w.now))
+	a.upstream = w.newUpstream()
+	a.beat()
+	is.Equal(a.keeper.State(w.now), flow.UpstreamWarm)
+}
+
+// The agent itself stood still: the silence was its own.
+func TestPauseOfTheAgentIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 2, 6)
+	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+	a := w.holder(c)
+	w.now = w.now.Add(10 * worldSilence) // no tick in between
+	a.keeper.Tick(w.now)
+	is.True(!c.reset)
+	is.Equal(a.keeper.State(w.now), flow.UpstreamAbsent) // but no new flow until it is heard
+	a.beat()
+	is.Equal(a.keeper.State(w.now), flow.UpstreamWarm)
+}
+
+// After everything restarted an agent without an upstream must not hold up the
+// searches of all others.
+func TestAgentWithoutUpstreamDeniesFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 2, 6)
+	a := w.agents[0]
+	a.upstream.dead = true
+	a.start()
+	is.True(!a.keeper.knowsAll(w.now)) // an announcement may still come
+	w.advance(worldSilence + time.Second)
+	is.True(a.keeper.knowsAll(w.now))
+}
+
+// Requests whose callers gave up are no load: after an outage agents refused new
+// flows as busy for as long as the abandoned ones were remembered.
+func TestAbandonedRequestsAreNoLoad(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 1, 3)
+	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+	a := w.holder(c)
+	ask := func(flags byte) {
+		packet := makePacket(c.key.Caller(), c.key.Route(), flags, 8, c.seq+1, 120)
+		s, _ := codec.Decode(packet)
+		a.keeper.Packet(w.now, w.entries[0].addr, &s, packet)
+		w.queue = nil // the upstream does not answer
+	}
+	ask(16)
+	is.Equal(a.keeper.Busy(), 1)
+	w.advance(busyLife + 2*sweepPeriod)
+	is.Equal(a.keeper.Busy(), 0)
+
+	ask(16)
+	is.Equal(a.keeper.Busy(), 1)
+	ask(16 | 64) // the caller closes its side
+	is.Equal(a.keeper.Busy(), 0)
+}
