--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -19,7 +19,9 @@
 	joinBackoffMin   = 500 * time.Millisecond
 	joinBackoffMax   = 30 * time.Second
 	joinCandidates   = 4
-	agentPatience    = 3 // joins that fail before an agent reads the configuration from the store
+	joinStagger      = 50 * time.Millisecond  // between two candidates
+	rosterHedge      = 100 * time.Millisecond // without an answer, until the rosters are read
+	agentPatience    = 3                      // joins that fail before an agent reads the configuration from the store
 	snapshotTimeout  = 3 * time.Second
 	storeCallTimeout = 5 * time.Second
 )
@@ -36,6 +38,7 @@
 	for ctx.Err() == nil {
 		if !n.lonely.Load() && n.Config().Keys != nil {
 			backoff = shortest
+			n.meetSeeds(ctx, r)
 			sleep(ctx, joinPoll)
 			continue
 		}
@@ -52,6 +55,19 @@
 	return nil
 }
 
+// meetSeeds lets an entry that met others, but no seed, ask the seeds: after a
+// loss of power the first entries find each other by the rosters, and those that
+// start later are found by the seeds.
+func (n *Node) meetSeeds(ctx context.Context, r *rand.Rand) {
+	if n.opts.Self.Role != membership.RoleEntry || len(n.opts.Seeds) == 0 {
+		return
+	}
+	if slices.ContainsFunc(n.knownEntries(), func(a netip.AddrPort) bool { return slices.Contains(n.opts.Seeds, a) }) {
+		return
+	}
+	n.snapshotFromAny(ctx, r, n.opts.Seeds)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -65,23 +81,40 @@
 // the configuration from the store; an agent has no use for it before there is
 // an entry, and waits for one first.
 func (n *Node) join(ctx context.Context, r *rand.Rand, failed int) bool {
-	if n.snapshotFromAny(ctx, r, n.knownEntries()) || n.snapshotFromAny(ctx, r, n.opts.Seeds) {
+	if n.askPeers(ctx, r) {
 		return true
 	}
 	patient := n.opts.Self.Role == membership.RoleAgent && failed < agentPatience
-	if n.opts.Store == nil || patient && len(n.opts.Seeds) > 0 {
-		return false
+	if n.opts.Store != nil && n.configMissing() && !patient {
+		n.readConfig(ctx)
 	}
-	if time.Since(n.rostersRead) >= n.opts.Joining.RosterPause {
-		n.rostersRead = time.Now()
-		if n.snapshotFromAny(ctx, r, n.readRosters(ctx)) {
+	return false
+}
+
+// askPeers takes a snapshot from a known entry or a seed. When none has answered
+// for a while, those in the rosters are asked too: seeds may be dark.
+func (n *Node) askPeers(ctx context.Context, r *rand.Rand) bool {
+	first := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+	found := make(chan bool, 1)
+	go func() { found <- n.snapshotFromAny(ctx, first, slices.Concat(n.knownEntries(), n.opts.Seeds)) }()
+	if n.opts.Store == nil || time.Since(n.rostersRead) < n.opts.Joining.RosterPause {
+		return <-found
+	}
+	hedge := time.NewTimer(rosterHedge)
+	defer hedge.Stop()
+	select {
+	case ok := <-found:
+		if ok {
 			return true
 		}
+		found <- false
+	case <-hedge.C:
 	}
-	if n.configMissing() && !patient {
-		n.readConfig(ctx)
+	n.rostersRead = time.Now()
+	if n.snapshotFromAny(ctx, r, n.readRosters(ctx)) {
+		return true
 	}
-	return false
+	return <-found
 }
 
 // configMissing reports whether the process has nothing to work with.
@@ -100,24 +133,36 @@
 	return out
 }
 
-// snapshotFromAny learns from the first of a few candidates that answers.
+// snapshotFromAny learns from the first of a few candidates that answers. They
+// are asked one after the other without waiting for those that do not answer.
 func (n *Node) snapshotFromAny(ctx context.Context, r *rand.Rand, candidates []netip.AddrPort) bool {
-	shuffled := slices.Clone(candidates)
+	shuffled := slices.DeleteFunc(slices.Clone(candidates), func(a netip.AddrPort) bool { return a == n.opts.Self.Control })
 	r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
-	tried := 0
-	for _, to := range shuffled {
-		if to == n.opts.Self.Control || ctx.Err() != nil {
-			continue
-		}
-		if n.takeSnapshot(ctx, to) == nil {
-			return true
+	shuffled = shuffled[:min(len(shuffled), joinCandidates)]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(shuffled))
+	asked, failed := 0, 0
+	for {
+		if asked < len(shuffled) && ctx.Err() == nil {
+			to := shuffled[asked]
+			asked++
+			go func() { results <- n.takeSnapshot(ctx, to) }()
 		}
-		tried++
-		if tried == joinCandidates {
+		if failed == asked {
 			return false
 		}
+		next := time.NewTimer(joinStagger)
+		select {
+		case err := <-results:
+			next.Stop()
+			if err == nil {
+				return true
+			}
+			failed++
+		case <-next.C:
+		}
 	}
-	return false
 }
 
 // takeSnapshot reads all pages from one entry.
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -27,7 +27,7 @@
 	// store; until then peers are asked.
 	readFirst = 60 * time.Millisecond
 	// joinTimeout bounds one snapshot: a seed may be a dark instance.
-	joinTimeout = 600 * time.Millisecond
+	joinTimeout = 400 * time.Millisecond
 	// joinBackoffMin and joinBackoffMax bound the pause between two searches for
 	// peers.
 	joinBackoffMin = 150 * time.Millisecond
