Let searches wait only for agents that may hold flows

Change: an agent without an announced upstream holds up no probe, and no proof after 4 s; one that was declared dead is not waited for.

--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -25,6 +25,8 @@
 	readyWait = 1500 * time.Millisecond
 	// viewPeriod is the shortest time between two views.
 	viewPeriod = 20 * time.Millisecond
+	// viewRefresh is the longest.
+	viewRefresh = time.Second
 )
 
 // Entry carries packets of callers to agents.
@@ -185,6 +187,8 @@
 // follow puts a new view in force after each change.
 func (e *Entry) follow(ctx context.Context) error {
 	changes := e.fleet.Watch()
+	refresh := time.NewTicker(viewRefresh) // agents are forgotten with time
+	defer refresh.Stop()
 	b := newViewBuilder(&e.settings.Passthrough)
 	incarnations := map[netip.AddrPort]uint64{}
 	for {
@@ -192,6 +196,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changes:
+		case <-refresh.C:
 		}
 		members := e.fleet.Members()
 		v := b.build(time.Now(), e.fleet.Config(), members, e.fleet.Departed())
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -50,11 +50,19 @@
 	Self    flow.End
 	Entries []flow.End              // data addresses of live entries, the own one included
 	Agents  map[uint16][]flow.Agent // by service ID: agents that may take new flows
-	Owners  map[flow.End]string     // all agents that may own flows, with their service's name
+	Owners  map[flow.End]Owner      // all agents that may own flows
 	Asked   []flow.End              // the same agents in the order of their addresses
 	Fleet   *config.Fleet
 }
 
+// Owner is an agent that may own flows.
+type Owner struct {
+	Service string
+	// Announced reports whether its upstream has announced itself to this process
+	// of the agent.
+	Announced bool
+}
+
 // Outbox sends what a Router decides.
 type Outbox interface {
 	// Carry hands a caller's packet to an agent.
@@ -208,7 +216,7 @@
 }
 
 func (r *Router) note(k flow.Key, p flow.Purpose, agent flow.End) flow.Note {
-	name := r.view.Owners[agent]
+	name := r.view.Owners[agent].Service
 	if !r.routeHas(k, name) {
 		return flow.Note{Purpose: p}
 	}
@@ -461,10 +469,10 @@
 }
 
 // probe gives the packet of a search to the agents whose upstreams have to tell,
-// once all agents have answered. With one missing it may be the owner, and the
-// packets would reach other upstreams only.
+// once all agents with an upstream have answered. A missing one may be the
+// owner, and the packets would reach other upstreams only.
 func (r *Router) probe(k flow.Key, f *routed) {
-	if f.sounded || len(f.denied)+len(f.probed) < f.asked {
+	if f.sounded || len(f.probed) == 0 || r.ownerMissing(k, f) {
 		return
 	}
 	f.sounded = true
@@ -473,6 +481,24 @@
 	}
 }
 
+// ownerMissing reports whether an agent that was asked and whose upstream has
+// announced itself has not answered yet.
+func (r *Router) ownerMissing(k flow.Key, f *routed) bool {
+	if len(f.denied)+len(f.probed) >= f.asked {
+		return false
+	}
+	for _, agent := range r.view.Asked {
+		o := r.view.Owners[agent]
+		if !o.Announced || slices.Contains(f.denied, agent) || slices.Contains(f.probed, agent) {
+			continue
+		}
+		if len(r.view.Asked) <= searchAll || r.routeHas(k, o.Service) {
+			return true
+		}
+	}
+	return false
+}
+
 // startSearch asks the homes of the flow, one after the other, then all agents.
 func (r *Router) startSearch(now time.Time, k flow.Key, f *routed, packet []byte) {
 	f.state, f.stage = stateSearching, 0
@@ -502,7 +528,7 @@
 	all := len(r.view.Owners) <= searchAll
 	f.asked, f.denied, f.probed, f.sounded = 0, f.denied[:0], f.probed[:0], false
 	for _, agent := range r.view.Asked {
-		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent]) {
+		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent].Service) {
 			continue
 		}
 		f.asked++
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -13,6 +13,10 @@
 // back with the flows of its upstream: a restart takes a second or two.
 const ownerMemory = 8 * time.Second
 
+// firstAnnouncement is the time from an agent's start until its upstream, if
+// there is one, has announced itself: three periods of about a second.
+const firstAnnouncement = 4 * time.Second
+
 // viewBuilder makes views from the members and the configuration. It remembers
 // agents that went a short time ago, because an agent that restarts holds the
 // same flows as before.
@@ -23,8 +27,17 @@
 }
 
 type pastOwner struct {
-	service uint16
-	seen    time.Time
+	service     uint16
+	seen        time.Time
+	incarnation uint64
+	started     time.Time // first sight of the incarnation
+	slots       uint16
+}
+
+// mayHold reports whether the agent may still have an upstream with flows: one
+// that has never been announced may not have been heard yet.
+func (o *pastOwner) mayHold(now time.Time) bool {
+	return now.Sub(o.seen) <= ownerMemory && (o.slots > 0 || now.Sub(o.started) <= firstAnnouncement)
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
@@ -36,14 +49,14 @@
 		Self:    b.self,
 		Entries: []flow.End{b.self},
 		Agents:  map[uint16][]flow.Agent{},
-		Owners:  map[flow.End]string{},
+		Owners:  map[flow.End]Owner{},
 		Fleet:   fleet,
 	}
 	for i := range members {
 		m := &members[i]
 		switch {
 		case m.Role == membership.RoleAgent:
-			b.owners[flow.EndOf(m.Addr)] = pastOwner{service: m.Service, seen: now}
+			b.noteOwner(now, m)
 			b.addAgent(v, m)
 		case m.State != membership.StateDraining:
 			v.Entries = append(v.Entries, flow.EndOf(m.Addr))
@@ -57,17 +70,28 @@
 	return v
 }
 
-// depart keeps an agent that may come back; one whose upstream has ended holds
-// no flow.
+func (b *viewBuilder) noteOwner(now time.Time, m *membership.Record) {
+	addr := flow.EndOf(m.Addr)
+	o := b.owners[addr]
+	if o.incarnation != m.Incarnation {
+		o.incarnation, o.started = m.Incarnation, now
+	}
+	o.service, o.slots, o.seen = m.Service, m.Slots, now
+	b.owners[addr] = o
+}
+
+// depart keeps an agent that may come back. One whose upstream has ended holds
+// no flow, and one that was declared dead has been away for longer than a
+// restart takes.
 func (b *viewBuilder) depart(now time.Time, m *membership.Record) {
 	addr := flow.EndOf(m.Addr)
-	_, known := b.owners[addr]
+	o, known := b.owners[addr]
 	switch {
-	case m.Role != membership.RoleAgent:
-	case m.Slots == 0:
+	case m.Role != membership.RoleAgent || known && o.incarnation > m.Incarnation:
+	case m.Slots == 0 || m.State == membership.StateDead:
 		delete(b.owners, addr)
 	case !known:
-		b.owners[addr] = pastOwner{service: m.Service, seen: now}
+		b.noteOwner(now, m)
 	}
 }
 
@@ -92,11 +116,11 @@
 		names[config.ServiceID(name)] = name
 	}
 	for addr, o := range b.owners {
-		if now.Sub(o.seen) > ownerMemory {
+		if !o.mayHold(now) {
 			delete(b.owners, addr)
 			continue
 		}
-		v.Owners[addr] = names[o.service]
+		v.Owners[addr] = Owner{Service: names[o.service], Announced: o.slots > 0}
 		v.Asked = append(v.Asked, addr)
 	}
 	slices.SortFunc(v.Asked, flow.End.Compare)
--- /dev/null
+++ b/internal/passthrough/view_test.go
@@ -0,0 +1,58 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/config"
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/membership"
+)
+
+// Which agents a search waits for: one that can't hold a flow must not hold up
+// the others, one that may come back with its flows must.
+func TestOwnersThatASearchWaitsFor(t *testing.T) {
+	record := func(state membership.State, slots uint16) membership.Record {
+		return membership.Record{
+			Addr: addrOf(2, 1), Role: membership.RoleAgent, State: state, Slots: slots, Incarnation: 5,
+		}
+	}
+	for name, tt := range map[string]struct {
+		member, departed *membership.Record
+		after            time.Duration
+		want             bool
+	}{
+		"serves":                                 {member: ptr(record(membership.StateReady, 5)), want: true},
+		"suspect":                                {member: ptr(record(membership.StateSuspect, 5)), want: true},
+		"upstream not announced yet":             {member: ptr(record(membership.StateDraining, 0)), want: true},
+		"never announced":                        {member: ptr(record(membership.StateDraining, 0)), after: firstAnnouncement + 1},
+		"left to restart":                        {departed: ptr(record(membership.StateLeft, 5)), want: true},
+		"left for long":                          {departed: ptr(record(membership.StateLeft, 5)), after: ownerMemory + 1},
+		"left after its upstream":                {departed: ptr(record(membership.StateLeft, 0))},
+		"declared dead":                          {departed: ptr(record(membership.StateDead, 5))},
+		"declared dead, back as another process": {member: ptr(record(membership.StateReady, 5)), departed: ptr(membership.Record{Addr: addrOf(2, 1), Role: membership.RoleAgent, State: membership.StateDead, Incarnation: 4}), want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newViewBuilder(&config.Passthrough{Data: addrOf(1, 1), Zones: map[string]string{"z1": "r"}, FlowMaxSeconds: 60})
+			var members, departed []membership.Record
+			if tt.member != nil {
+				members = append(members, *tt.member)
+			}
+			if tt.departed != nil {
+				departed = append(departed, *tt.departed)
+			}
+			b.build(worldStart, config.Empty(), members, departed)
+			if tt.member == nil {
+				members = nil
+			}
+			v := b.build(worldStart.Add(tt.after), config.Empty(), members, nil)
+			_, got := v.Owners[flow.EndOf(addrOf(2, 1))]
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
