--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -37,8 +37,8 @@
 			n.core.Tick(now)
 			n.lonely.Store(n.core.Lonely(now))
 		}
-		n.publishFresh()
 		n.act(time.Now())
+		n.publishFresh()
 	}
 }
 
@@ -111,7 +111,11 @@
 	return fleet
 }
 
+// publishFresh shows how fresh the objects are, once they are in force.
 func (n *Node) publishFresh() {
+	if n.objectsDirty {
+		return
+	}
 	at := n.core.Fresh()
 	if at.IsZero() {
 		n.fresh.Store(0)
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -164,9 +164,12 @@
 
 func (e *Entry) tick(now time.Time) {
 	fresh := e.fleet.Fresh()
+	current := e.fleet.Config() // at least as new as what fresh is about
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.router.SetFresh(fresh)
+	if e.router.view.Fleet == current {
+		e.router.SetFresh(fresh)
+	}
 	e.router.Tick(now)
 	if !e.ready.Load() {
 		e.checkReady(now, fresh)
