--- a/cmd/crocus-entry/main_test.go
+++ b/cmd/crocus-entry/main_test.go
@@ -43,6 +43,19 @@
 		"unknown key": {`{"zones":"a"}`, []string{"zones: unknown key"}},
 		"wrong type":  {`{"zone":5}`, []string{"zone: cannot read number"}},
 		"bad address": {`{"data":"here"}`, []string{"data: "}},
+		"unknown transport": {`{"transport":"tcp"}`, []string{`transport: "tcp" is not known`}},
+		"passthrough": {
+			`{"transport":"passthrough","zone":"a","zones":{"a":"r"},"data":"127.0.0.1:1","control":"127.0.0.1:2",` +
+				`"metrics":"127.0.0.1:3","ready":"127.0.0.1:4","store":"http://127.0.0.1:5","secret":"short",` +
+				`"callerPortOf":"127.0.0.1:6","flowMaxSeconds":0,"graceSeconds":6,"fabric":"127.0.0.1"}`,
+			[]string{"fabric: "},
+		},
+		"passthrough, out of range": {
+			`{"transport":"passthrough","zone":"a","zones":{"a":"r"},"data":"127.0.0.1:1","control":"127.0.0.1:2",` +
+				`"metrics":"127.0.0.1:3","ready":"127.0.0.1:4","store":"http://127.0.0.1:5","secret":"short",` +
+				`"callerPortOf":"127.0.0.1:6","flowMaxSeconds":0,"graceSeconds":6,"fabric":"127.0.0.1:7"}`,
+			[]string{"secret: ", "flowMaxSeconds: "},
+		},
 		"missing fields": {
 			`{"zone":"a","store":"http://127.0.0.1:1","data":"127.21.0.1:7001","fabric":"127.21.0.1:0"}`,
 			[]string{
--- a/cmd/crocusctl/commands.go
+++ b/cmd/crocusctl/commands.go
@@ -17,20 +17,28 @@
 type subcommand struct {
 	cmd *flaggy.Subcommand
 	run func(context.Context) error
+	// anywhere marks a command that asks the processes and no store.
+	anywhere bool
 }
 
 func (c *command) subcommands() []subcommand {
 	c.subs = []subcommand{
 		c.applyCommand(),
 		c.plain("get", "list services and zones as the store has them", c.get),
-		c.plain("status", "show every process, its configuration and what a stop would cut", c.status),
-		c.named("explain", "NAME", "show why a service, upstream, flow, zone or process is as it is", c.explain),
+		c.plain("status", "show every process, its configuration and what a stop would cut", c.status).onAnyFleet(),
+		c.named("explain", "NAME", "show why a service, upstream, flow, zone or process is as it is", c.explain).onAnyFleet(),
 		c.zoneCommand(),
 		c.keysCommand(),
 	}
 	return c.subs
 }
 
+// onAnyFleet marks a command that needs no store of the product's own.
+func (s subcommand) onAnyFleet() subcommand {
+	s.anywhere = true
+	return s
+}
+
 func (c *command) plain(name, description string, run func(context.Context) error) subcommand {
 	cmd := flaggy.NewSubcommand(name)
 	cmd.Description = description
@@ -153,6 +161,10 @@
 		return err
 	}
 	due := ctl.NewestOf(replies)
+	if c.store == nil {
+		ctl.WriteStatus(os.Stdout, replies, due)
+		return nil
+	}
 	objects, err := ctl.ConfigObjects(ctx, c.store)
 	if err != nil {
 		fmt.Println("the store does not answer; compared with the newest entry:", err)
--- a/cmd/crocusctl/main.go
+++ b/cmd/crocusctl/main.go
@@ -98,7 +98,7 @@
 func (c *command) selected(p *flaggy.Parser) func(context.Context) error {
 	for _, s := range c.subs {
 		if s.cmd.Used {
-			return c.withSettings(s.run)
+			return c.withSettings(c.permitted(s))
 		}
 	}
 	if c.check {
@@ -108,6 +108,21 @@
 	return func(context.Context) error { return errUsage }
 }
 
+// errPlatformConfig reports a command on a configuration that the platform
+// keeps.
+var errPlatformConfig = errors.New("the platform keeps the configuration of passed-through flows; change it there")
+
+// permitted refuses the commands that need the product's own store, where the
+// fleet has none.
+func (c *command) permitted(s subcommand) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if c.conf.Transport == config.TransportPassthrough && !s.anywhere {
+			return errPlatformConfig
+		}
+		return s.run(ctx)
+	}
+}
+
 // withSettings reads the settings before run.
 func (c *command) withSettings(run func(context.Context) error) func(context.Context) error {
 	return func(ctx context.Context) error {
@@ -117,7 +132,11 @@
 		if c.check {
 			return nil
 		}
-		material, err := wire.LoadMutualTLS(c.conf.TLS)
+		if c.conf.Transport == config.TransportPassthrough {
+			c.call = ctl.PlainCaller()
+			return run(ctx)
+		}
+		material, err := wire.LoadMutualTLS(*c.conf.TLS)
 		if err != nil {
 			return err
 		}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -61,9 +61,13 @@
 
 // Control are the settings of crocusctl.
 type Control struct {
-	Store string           `json:"store" validate:"required,url"`
-	Seeds []netip.AddrPort `json:"seeds,omitempty" validate:"dive,hostport4"`
-	TLS   wire.TLSFiles    `json:"tls"`
+	// Transport is "passthrough" for a fleet of passed-through flows, whose
+	// control addresses are without TLS and whose configuration the platform
+	// keeps.
+	Transport string           `json:"transport,omitempty" validate:"omitempty,eq=passthrough"`
+	Store     string           `json:"store,omitempty" validate:"required_without=Transport,omitempty,url"`
+	Seeds     []netip.AddrPort `json:"seeds,omitempty" validate:"dive,hostport4"`
+	TLS       *wire.TLSFiles   `json:"tls,omitempty" validate:"required_without=Transport"`
 }
 
 // ReadFile decodes and checks the JSON file at path into v.
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// PlainCaller calls over plain TCP.
+func PlainCaller() Caller { return TLSCaller(nil) }
+
 // Reply is what one process said of itself.
 type Reply struct {
 	Member wire.MemberStatus
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -77,11 +77,22 @@
 	} else {
 		_, _ = fmt.Fprintln(w, strings.Repeat("\t", agentColumns))
 	}
+	for _, b := range s.Beliefs {
+		_, _ = fmt.Fprintf(w, "  %s: %s (%s)\n", b.About, b.Value, ageOf(b.AgeMillis))
+	}
 	for _, p := range s.ConfigProblems {
 		_, _ = fmt.Fprintf(w, "  refused: %s\n", p)
 	}
 }
 
+// ageOf words the age of a belief.
+func ageOf(millis int64) string {
+	if millis < 0 {
+		return "never confirmed"
+	}
+	return (time.Duration(millis) * time.Millisecond).String() + " ago"
+}
+
 func writeBehind(w io.Writer, replies []Reply, x Revisions) {
 	behind := x.Behind(replies)
 	if len(behind) == 0 {
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -10,9 +10,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/wire"
 )
 
 const (
@@ -62,7 +64,7 @@
 		Silence: silentPeriods * time.Duration(s.AnnounceMillis) * time.Millisecond,
 		Codec:   d.Codec,
 		Out:     a,
-		Observe: a.counters.observer(d.Log),
+		Observe: a.counters.observer(d.Log, a.events),
 
 		Answered: func(d time.Duration) { a.counters.answers.Observe(d.Seconds()) },
 	})
@@ -82,9 +84,31 @@
 		return nil, errors.Join(err, a.data.Close(), a.outbound.Close())
 	}
 	a.fleet.Follow(s.Service)
+	a.fleet.SetStatus(a.fillStatus)
 	return a, nil
 }
 
+// events returns the ring of changes once there is a fleet node.
+func (a *Agent) events() *explain.Ring {
+	if a.fleet == nil {
+		return nil
+	}
+	return a.fleet.Events()
+}
+
+// fillStatus tells what the agent believes.
+func (a *Agent) fillStatus(s *wire.Status) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last := a.keeper.Last()
+	s.Agent = &wire.AgentStatus{
+		Service: a.settings.Service, Upstream: last.ID, Slots: last.Slots, Limit: last.Slots,
+		Busy: a.keeper.Busy(), Flows: a.keeper.Flows(),
+	}
+	state := string(a.keeper.State(time.Now()))
+	s.Beliefs = append(s.Beliefs, wire.Belief{About: "upstream", Value: state, AgeMillis: ageMillis(a.keeper.Heard())})
+}
+
 // Stop starts a graceful stop.
 func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,9 +13,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/wire"
 )
 
 const (
@@ -57,7 +61,7 @@
 	}
 	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: make(chan struct{})}
 	e.counters = newCounters(d.Registry)
-	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log))
+	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
 	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
@@ -73,9 +77,47 @@
 	if e.fleet, err = newNode(&s.Passthrough, self, &d); err != nil {
 		return nil, errors.Join(err, e.callers.Close(), e.data.Close())
 	}
+	e.fleet.SetStatus(e.fillStatus)
 	return e, nil
 }
 
+// events returns the ring of changes once there is a fleet node.
+func (e *Entry) events() *explain.Ring {
+	if e.fleet == nil {
+		return nil
+	}
+	return e.fleet.Events()
+}
+
+// fillStatus tells what the entry believes.
+func (e *Entry) fillStatus(s *wire.Status) {
+	fresh := e.fleet.Fresh()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.router.view
+	agents := 0
+	for _, list := range v.Agents {
+		agents += len(list)
+	}
+	s.Beliefs = append(
+		s.Beliefs,
+		wire.Belief{About: "routes", Value: fmt.Sprintf("version %d, %d routes", v.Fleet.Version, len(v.Fleet.Routes)), AgeMillis: ageMillis(fresh)},
+		wire.Belief{About: "agents that take flows", Value: strconv.Itoa(agents), AgeMillis: ageMillis(e.router.changed)},
+		wire.Belief{About: "flows", Value: strconv.Itoa(e.router.Flows())},
+	)
+	for zone := range v.Fleet.ZonesOut {
+		s.Beliefs = append(s.Beliefs, wire.Belief{About: "zone out", Value: zone, AgeMillis: ageMillis(fresh)})
+	}
+}
+
+// ageMillis returns the time since at, -1 when at is not set.
+func ageMillis(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
 // Stop starts a graceful stop.
 func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
 
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -2,9 +2,12 @@
 
 import (
 	"log/slog"
+	"strings"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"crocusnotch/internal/explain"
 	"crocusnotch/internal/telemetry"
 )
 
@@ -68,9 +71,12 @@
 
 func (c *counters) drop(reason string) { c.dropped.WithLabelValues(reason).Inc() }
 
-// observer logs and counts decisions.
-func (c *counters) observer(log *slog.Logger) Observer {
+// observer logs and counts decisions, and keeps the latest for explanations.
+func (c *counters) observer(log *slog.Logger, events func() *explain.Ring) Observer {
 	return func(d Decision) {
+		if ring := events(); ring != nil {
+			ring.Add(time.Now(), explain.SubjectFlow, d.Key.String(), d.What, strings.TrimSpace(d.Reason+" "+d.Agent.String()))
+		}
 		c.decisions.WithLabelValues(d.What, d.Reason).Inc()
 		if d.What == DecisionOwned || d.What == DecisionFound {
 			c.placement.Observe(d.Age.Seconds())
