Keep flows of services that their route no longer names; add a fault soak

The entry sent the packet without the service's tag, the agent denied a flow that its upstream held, and all others denied it truly: reset. Change: entries remember the services of an address as long as flows may last; an agent that may not ask its upstream does not deny. Figures: TestFlowOutlivesItsServiceInTheRoute fails without it.

--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -219,7 +219,7 @@
 	case f != nil && f.state == keptOpen && !a.ended(f):
 		f.origin = from
 		a.tellOwned(k, f)
-	case f == nil && (a.knowsAll(now) || n.Service != a.tag || a.deniedLately(now, k)):
+	case f == nil && (a.knowsAll(now) || a.deniedLately(now, k)):
 		a.notHeld(k, from, nil)
 	default:
 		a.Out.Tell(from, &Message{Kind: KindMayHold, Key: k, Load: a.load()})
@@ -307,10 +307,16 @@
 // unknown handles a packet of a flow that the agent does not know. Its upstream
 // is asked unless all of its flows have passed here.
 func (a *Keeper) unknown(now time.Time, k flow.Key, from flow.End, n flow.Note, packet []byte) {
-	if a.knowsAll(now) || n.Service != a.tag || a.deniedLately(now, k) {
+	if a.knowsAll(now) || a.deniedLately(now, k) {
 		a.notHeld(k, from, packet)
 		return
 	}
+	if n.Service != a.tag {
+		// The upstream may hold the flow, but must not be asked with a packet
+		// that the address's services do not permit.
+		a.Observe(Decision{What: DecisionReject, Reason: flow.RefusalService.String(), Key: k, Agent: from})
+		return
+	}
 	a.Observe(Decision{What: DecisionProbe, Key: k, Agent: from})
 	a.flows[k] = &kept{state: keptProbing, origin: from, opened: now, seen: now}
 	a.unanswered = max(a.unanswered, 1)
--- a/internal/passthrough/machine_test.go
+++ b/internal/passthrough/machine_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"crocusnotch/internal/config"
 	"crocusnotch/internal/flow"
 )
 
@@ -433,3 +434,39 @@
 	w.request(c, w.entries[1])
 	is.Equal(c.sent, 0)
 }
+
+// A changed configuration leaves open flows where they are: the service that
+// holds one may no longer be named by its route, and its agent may restart.
+func TestFlowOutlivesItsServiceInTheRoute(t *testing.T) {
+	for name, lost := range map[string]bool{"owner known": false, "owner searched for": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t.Fatalf, 2, 6)
+			w.advance(time.Second)
+			c := w.open(1, routeB, func() *worldEntry { return w.entries[0] })
+			is.True(c.open)
+			changed := *w.fleet
+			changed.Routes = map[netip.AddrPort]*config.Route{
+				routeA: w.fleet.Routes[routeA],
+				routeB: {Name: "b", Address: routeB, Choices: []config.Choice{{Service: "alpha", Weight: 1}}},
+			}
+			w.fleet = &changed
+			for _, a := range w.agents {
+				a.start()
+				a.beat()
+			}
+			w.settle()
+			if lost {
+				for _, e := range w.entries {
+					for k := range e.router.flows {
+						delete(e.router.flows, k)
+					}
+				}
+			}
+			w.request(c, w.entries[1])
+			w.advance(time.Second)
+			is.True(!c.reset)
+			is.Equal(c.sent, 0)
+		})
+	}
+}
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -53,6 +54,8 @@
 	Owners  map[flow.End]Owner      // all agents that may own flows
 	Asked   []flow.End              // the same agents in the order of their addresses
 	Fleet   *config.Fleet
+	// Past are the services that each address had as long as flows may last.
+	Past map[netip.AddrPort][]string
 }
 
 // Owner is an agent that may own flows.
@@ -223,17 +226,10 @@
 	return flow.Note{Purpose: p, Service: config.ServiceTag(name)}
 }
 
+// routeHas reports whether the service has, or lately had, flows of the address:
+// a changed configuration leaves open flows where they are.
 func (r *Router) routeHas(k flow.Key, service string) bool {
-	route := r.view.Fleet.Routes[k.Route().AddrPort()]
-	if route == nil {
-		return false
-	}
-	for i := range route.Choices {
-		if route.Choices[i].Service == service {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.view.Past[k.Route().AddrPort()], service)
 }
 
 // open places a new flow, or passes on a copy of its opening packet.
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -25,6 +26,14 @@
 	settings *config.Passthrough
 	self     flow.End
 	owners   map[flow.End]pastOwner
+	fleet    *config.Fleet // that the past was last updated with
+	past     map[pastChoice]time.Time
+}
+
+// pastChoice is a service that an address has or had.
+type pastChoice struct {
+	address netip.AddrPort
+	service string
 }
 
 type pastOwner struct {
@@ -36,7 +45,7 @@
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
-	return &viewBuilder{settings: s, self: flow.EndOf(s.Data), owners: map[flow.End]pastOwner{}}
+	return &viewBuilder{settings: s, self: flow.EndOf(s.Data), owners: map[flow.End]pastOwner{}, past: map[pastChoice]time.Time{}}
 }
 
 func (b *viewBuilder) build(now time.Time, fleet *config.Fleet, members, departed []membership.Record) *View {
@@ -62,9 +71,36 @@
 	}
 	slices.SortFunc(v.Entries, flow.End.Compare)
 	b.addOwners(now, v)
+	b.addPast(now, v)
 	return v
 }
 
+// addPast adds the services of each address, also those that a configuration
+// has removed within the time that flows may last.
+func (b *viewBuilder) addPast(now time.Time, v *View) {
+	if b.fleet != nil && b.fleet != v.Fleet {
+		b.keepChoices(now, b.fleet) // they were in force until now
+	}
+	b.fleet = v.Fleet
+	b.keepChoices(now, v.Fleet)
+	v.Past = make(map[netip.AddrPort][]string, len(v.Fleet.Routes))
+	for c, last := range b.past {
+		if now.Sub(last) > b.settings.FlowMax() {
+			delete(b.past, c)
+			continue
+		}
+		v.Past[c.address] = append(v.Past[c.address], c.service)
+	}
+}
+
+func (b *viewBuilder) keepChoices(now time.Time, fleet *config.Fleet) {
+	for address, route := range fleet.Routes {
+		for i := range route.Choices {
+			b.past[pastChoice{address, route.Choices[i].Service}] = now
+		}
+	}
+}
+
 func (b *viewBuilder) noteOwner(now time.Time, m *membership.Record) {
 	addr := flow.EndOf(m.Addr)
 	o := b.owners[addr]
--- /dev/null
+++ b/internal/soak/fleet_test.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"crocusnotch/platform/platformtest"
+)
+
+// Ports of every instance; each has an IP address of its own.
+const (
+	portControl  = 7720
+	portData     = 7721 // also metrics, over TCP
+	portReady    = 7722
+	portAnnounce = 7723
+	portUpstream = 7724
+	portOutbound = 7725
+	portCallers  = 8172 // of entries and of the callers' address
+	portStore    = 8169
+)
+
+const (
+	entryCount     = 3
+	agentCount     = 5
+	announcePeriod = 400 * time.Millisecond
+	startWait      = 20 * time.Second // for programs to come up; nothing is judged by it
+	poll           = 10 * time.Millisecond
+	secret         = "0202020202020202020202020202020202020202020202020202020202020202"
+)
+
+// services of the agents, and the address of the route to each.
+var (
+	services = []string{"alpha", "beta"}
+	routes   = map[string]netip.AddrPort{
+		"alpha": netip.MustParseAddrPort("198.18.0.1:443"),
+		"beta":  netip.MustParseAddrPort("198.18.0.2:443"),
+	}
+	zones = []string{"za", "zb"}
+)
+
+// process is one program that the soak started. Only these are signalled.
+type process struct {
+	name     string
+	program  string
+	settings string
+	log      *os.File
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{}
+}
+
+func (p *process) start(bin string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() {
+		return nil
+	}
+	cmd := exec.Command(filepath.Join(bin, p.program), "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *process) running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to the process if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// wait returns when the process has ended, or after the limit.
+func (p *process) wait(limit time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// fleet is the programs and what surrounds them.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	bin     string
+	subnet  byte
+	store   *platformtest.Store
+	proxy   *proxy
+	entries []*process
+	agents  []*agent
+	callers *callers
+	version int
+	extra   int // routes beside those of the services
+	faults  faultTimes
+}
+
+func (f *fleet) ip(kind, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, f.subnet, byte(kind), byte(i + 1)})
+}
+
+func (f *fleet) addr(kind, i int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(f.ip(kind, i), port)
+}
+
+const (
+	kindEntry  = 1
+	kindAgent  = 2
+	kindCaller = 3
+	kindStore  = 4
+)
+
+func build(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	for _, program := range []string{"crocus-entry", "crocus-agent"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(bin, program), "../../cmd/"+program).CombinedOutput()
+		if err != nil {
+			t.Fatalf("build %s: %v\n%s", program, err, out)
+		}
+	}
+	return bin
+}
+
+func newFleet(t *testing.T, bin string) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New()}
+	f.must(nil)
+	f.configure()
+	inner, err := net.Listen("tcp", f.addr(kindStore, 0, portStore).String())
+	f.must(err)
+	server := &http.Server{Handler: f.store}
+	go func() { _ = server.Serve(inner) }()
+	f.proxy = newProxy(t, f.addr(kindStore, 1, portStore), inner.Addr().String())
+	f.callers = newCallers(f)
+	for i := range agentCount {
+		f.agents = append(f.agents, newAgent(f, i))
+	}
+	for i := range entryCount {
+		f.entries = append(f.entries, f.process("crocus-entry", kindEntry, i, map[string]any{
+			"fabric": f.addr(kindEntry, i, portCallers).String(),
+		}))
+	}
+	t.Cleanup(func() {
+		for _, p := range f.processes() {
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGKILL)
+		}
+		f.callers.close()
+		_ = server.Close()
+		f.proxy.close()
+	})
+	return f
+}
+
+func (f *fleet) must(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) processes() []*process {
+	out := append([]*process(nil), f.entries...)
+	for _, a := range f.agents {
+		out = append(out, a.process)
+	}
+	return out
+}
+
+// process writes the settings of a program; own are those that only it has.
+func (f *fleet) process(program string, kind, i int, own map[string]any) *process {
+	name := fmt.Sprintf("%s-%d", program, i+1)
+	s := map[string]any{
+		"transport": "passthrough", "zone": zones[i%len(zones)], "zones": map[string]string{"za": "r", "zb": "r"},
+		"data": f.addr(kind, i, portData).String(), "control": f.addr(kind, i, portControl).String(),
+		"metrics": f.addr(kind, i, portData).String(), "ready": f.addr(kind, i, portReady).String(),
+		"store":  "http://" + f.proxy.addr(),
+		"seeds":  []string{f.addr(kindEntry, 0, 1).String(), f.addr(kindEntry, 1, 1).String()},
+		"secret": secret, "callerPortOf": f.addr(kind, i, portCallers).String(),
+		"flowMaxSeconds": 60, "graceSeconds": 6,
+	}
+	for k, v := range own {
+		s[k] = v
+	}
+	data, err := json.Marshal(s)
+	f.must(err)
+	p := &process{name: name, program: program, settings: filepath.Join(f.dir, name+".json")}
+	f.must(os.WriteFile(p.settings, data, 0o600))
+	p.log, err = os.Create(filepath.Join(f.dir, name+".log"))
+	f.must(err)
+	return p
+}
+
+// configure writes the next version of the configuration.
+func (f *fleet) configure() {
+	f.version++
+	var list []string
+	for _, s := range services {
+		list = append(list, route(routes[s], s))
+	}
+	for i := range f.extra {
+		list = append(list, route(extraRoute(i), services[i%len(services)]))
+	}
+	f.store.Put("config", "main", fmt.Sprintf(
+		`{"Version":%d,"Routes":[%s],"Services":[{"Name":"alpha","MaxConns":500,"WarmupPerS":0},`+
+			`{"Name":"beta","MaxConns":500,"WarmupPerS":0}],"Limits":{"IdleTimeoutMs":15000}}`,
+		f.version, strings.Join(list, ",")))
+}
+
+func route(a netip.AddrPort, service string) string {
+	return fmt.Sprintf(`{"Name":"r-%s","Host":"%s","PathPrefix":"/%d/","Service":"%s"}`, a, a.Addr(), a.Port(), service)
+}
+
+func extraRoute(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i + 1)}), 443)
+}
+
+// ready reports whether an entry answers its readiness check with 200.
+func (f *fleet) ready(i int) bool {
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	res, err := client.Get("http://" + f.addr(kindEntry, i, portReady).String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// startAll starts what does not run and waits until the entries are ready.
+func (f *fleet) startAll() {
+	f.t.Helper()
+	for _, p := range f.processes() {
+		p.signal(syscall.SIGCONT)
+		f.must(p.start(f.bin))
+	}
+	for deadline := time.Now().Add(startWait); ; time.Sleep(poll) {
+		up := 0
+		for i := range f.entries {
+			if f.ready(i) {
+				up++
+			}
+		}
+		if up == len(f.entries) {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%d of %d entries became ready", up, len(f.entries))
+		}
+	}
+}
