Reset at an upstream's end only the flows that were open there

Cause (soak): the first copy of an opening packet went to an agent whose upstream did not answer; a copy opened the flow at another. When the first upstream was replaced, its agent reset the flow. The same could happen when both consented. Change: an agent resets a flow only after its caller used it there, or its upstream sent more than the consent; the others are forgotten.

--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -54,7 +54,11 @@
 
 // kept is one flow of the upstream.
 type kept struct {
-	state  keptState
+	state keptState
+	// used is set once the caller has sent a packet on the flow, or the upstream
+	// one beyond its consent. Until then it may be open at another upstream,
+	// which answered another copy of the opening packet.
+	used   bool
 	origin flow.End // entry that sent the last packet
 	born   int64    // start of the upstream that holds it, 0 when not known
 	seen   time.Time
@@ -156,9 +160,7 @@
 		if f.born != born {
 			continue
 		}
-		a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened)})
-		a.forget(k, f)
-		a.Out.Reset(k, f.ack)
+		a.end(k, f, f.ack)
 	}
 }
 
@@ -191,8 +193,11 @@
 		return
 	}
 	if f != nil && a.ended(f) {
-		a.end(k, f, s)
-		return
+		a.end(k, f, s.Ack)
+		if f.used {
+			return
+		}
+		f = nil
 	}
 	if s.Opening {
 		a.open(now, k, f, from, n, packet)
@@ -203,6 +208,7 @@
 		return
 	}
 	f.origin, f.seen, f.ack = from, now, s.Ack
+	f.used = f.used || f.state == keptOpen
 	switch {
 	case s.Fin || s.Reset:
 		a.answered(f) // the caller waits for nothing any more
@@ -242,13 +248,14 @@
 	return f.state == keptOpen && f.born != 0 && f.born != a.upstream.Last().Born
 }
 
-// end resets a flow whose upstream has ended.
-func (a *Keeper) end(k flow.Key, f *kept, s *flow.Segment) {
-	a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened)})
+// end forgets a flow whose upstream has ended, and resets it if it was open there.
+func (a *Keeper) end(k flow.Key, f *kept, ack uint32) {
 	a.forget(k, f)
-	if !s.Reset {
-		a.Out.Reset(k, s.Ack)
+	if !f.used {
+		return
 	}
+	a.Observe(Decision{What: DecisionEnded, Key: k, Age: f.seen.Sub(f.opened)})
+	a.Out.Reset(k, ack)
 }
 
 func (a *Keeper) forget(k flow.Key, f *kept) {
@@ -348,6 +355,7 @@
 		a.tellOwned(k, f)
 	}
 	f.seen = now
+	f.used = f.used || !s.Opened
 	if s.Data > 0 && f.busy {
 		a.Answered(now.Sub(f.asked))
 		a.answered(f)
--- a/internal/passthrough/keeper_test.go
+++ b/internal/passthrough/keeper_test.go
@@ -16,6 +16,7 @@
 	w := newWorld(t.Fatalf, 2, 6)
 	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
 	is.True(c.open)
+	w.request(c, w.entries[0]) // opens the flow at the upstream
 	a := w.holder(c)
 	a.upstream.dead = true
 	w.advance(worldSilence - time.Second)
@@ -94,3 +95,32 @@
 	ask(16 | 64) // the caller closes its side
 	is.Equal(a.keeper.Busy(), 0)
 }
+
+// A copy of the opening packet opened the flow at another upstream. The first
+// one ends later, which says nothing about the flow.
+func TestEndOfAnUpstreamThatNeverHadTheFlow(t *testing.T) {
+	for name, answers := range map[string]bool{"did not answer": false, "consented too": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t.Fatalf, 1, 6)
+			c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+			is.True(c.open)
+			var other *worldAgent
+			for _, a := range w.agents {
+				if a.service == "alpha" && a.upstream != c.owner {
+					other = a
+				}
+			}
+			packet := makePacket(c.key.Caller(), c.key.Route(), 1, 7, 0, 0)
+			codec.SetNote(packet, flow.Note{Purpose: flow.PurposeOpen, Service: other.keeper.tag})
+			s, _ := codec.Decode(packet)
+			other.upstream.dead = !answers
+			other.keeper.Packet(w.now, w.entries[0].addr, &s, packet)
+			w.drain()
+			other.upstream.dead = true
+			other.upstream = w.newUpstream()
+			other.beat()
+			is.True(!c.reset)
+		})
+	}
+}
--- a/internal/passthrough/machine_test.go
+++ b/internal/passthrough/machine_test.go
@@ -325,6 +325,7 @@
 			w := newWorld(t.Fatalf, 2, 6)
 			c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
 			is.True(c.open)
+			w.request(c, w.entries[0]) // opens the flow at the upstream
 			for _, a := range w.agents {
 				if a.upstream == c.owner {
 					end(a)
