--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -68,6 +68,7 @@
 	}
 	cmd := exec.Command(filepath.Join(bin, p.program), "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the soak
 	if err := cmd.Start(); err != nil {
 		return err
 	}
