--- a/internal/docstest/docs_test.go
+++ b/internal/docstest/docs_test.go
@@ -18,7 +18,6 @@
 	codeDir = ".."
 
 	platformDir = "../../platform"
-	deployDir   = "../../deploy"
 )
 
 var exampleBlock = regexp.MustCompile("(?s)<!-- example: (\\w+) -->\n```json\n(.*?)```")
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
@@ -44,8 +43,7 @@
 	entry   flow.End // some entry, for flows that no entry has shown
 	shown   membership.Record
 
-	stop     chan struct{}
-	stopOnce sync.Once
+	stop *stopper
 }
 
 // NewAgent opens the sockets of an agent.
@@ -54,7 +52,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	a := &Agent{settings: s, deps: d, keys: keys, stop: make(chan struct{})}
+	a := &Agent{settings: s, deps: d, keys: keys, stop: newStopper()}
 	a.counters = newCounters(d.Registry)
 	started := time.Now()
 	a.keeper = NewKeeper(KeeperOptions{
@@ -110,14 +108,12 @@
 }
 
 // Stop starts a graceful stop.
-func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
+func (a *Agent) Stop() { a.stop.stop() }
 
 // Health reports whether the agent has an upstream and takes new flows.
 func (a *Agent) Health() (ok bool, reason string) {
-	select {
-	case <-a.stop:
+	if a.stop.stopping() {
 		return false, "draining"
-	default:
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -129,29 +125,24 @@
 
 // Run carries packets until ctx ends or a graceful stop is done.
 func (a *Agent) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return a.fleet.Run(ctx) })
-	g.Go(func() error { return a.follow(ctx) })
-	g.Go(func() error { return receive(a.data, a.readFailed, a.fromEntry) })
-	g.Go(func() error { return receive(a.outbound, a.readFailed, a.fromUpstream) })
-	g.Go(func() error { return every(ctx, tickPeriod, a.tick) })
-	g.Go(func() error {
-		defer cancel()
-		a.awaitStop(ctx)
-		return errors.Join(a.data.Close(), a.outbound.Close())
-	})
-	return g.Wait()
+	f := frame{
+		loops:   []func(context.Context) error{a.fleet.Run, a.follow},
+		sockets: []PacketConn{a.data, a.outbound},
+		readers: []func() error{
+			func() error { return receive(a.data, a.readFailed, a.fromEntry) },
+			func() error { return receive(a.outbound, a.readFailed, a.fromUpstream) },
+		},
+		tick:  a.tick,
+		drain: a.drain,
+	}
+	return f.run(ctx)
 }
 
-// awaitStop exits at a moment without an open request, if one comes soon: the
+// drain exits at a moment without an open request, if one comes soon: the
 // flows stay at the upstream, and the next process learns them from it.
-func (a *Agent) awaitStop(ctx context.Context) {
-	select {
-	case <-ctx.Done():
+func (a *Agent) drain(ctx context.Context) {
+	if !a.stop.wait(ctx) {
 		return
-	case <-a.stop:
 	}
 	a.mu.Lock()
 	a.keeper.Leave()
@@ -203,10 +194,8 @@
 
 // showUpstream announces the upstream's condition to the fleet when it changed.
 func (a *Agent) showUpstream(now time.Time) {
-	select {
-	case <-a.stop:
+	if a.stop.stopping() {
 		return
-	default:
 	}
 	a.mu.Lock()
 	state := a.keeper.State(now)
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
@@ -48,9 +47,8 @@
 	router  *Router
 	scratch []byte
 
-	ready    atomic.Bool
-	stop     chan struct{}
-	stopOnce sync.Once
+	ready atomic.Bool
+	stop  *stopper
 }
 
 // NewEntry opens the sockets of an entry.
@@ -59,7 +57,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: make(chan struct{})}
+	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: newStopper()}
 	e.counters = newCounters(d.Registry)
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
 	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
@@ -119,14 +117,12 @@
 }
 
 // Stop starts a graceful stop.
-func (e *Entry) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+func (e *Entry) Stop() { e.stop.stop() }
 
 // Health reports whether the entry can place new flows.
 func (e *Entry) Health() (ok bool, reason string) {
-	select {
-	case <-e.stop:
+	if e.stop.stopping() {
 		return false, "draining"
-	default:
 	}
 	if !e.ready.Load() {
 		return false, "routes or agents not known yet"
@@ -136,27 +132,22 @@
 
 // Run carries packets until ctx ends or a graceful stop is done.
 func (e *Entry) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return e.fleet.Run(ctx) })
-	g.Go(func() error { return e.follow(ctx) })
-	g.Go(func() error { return receive(e.callers, e.readFailed, e.fromCaller) })
-	g.Go(func() error { return receive(e.data, e.readFailed, e.fromPeer) })
-	g.Go(func() error { return every(ctx, tickPeriod, e.tick) })
-	g.Go(func() error {
-		defer cancel()
-		e.awaitStop(ctx)
-		return errors.Join(e.callers.Close(), e.data.Close())
-	})
-	return g.Wait()
+	f := frame{
+		loops:   []func(context.Context) error{e.fleet.Run, e.follow},
+		sockets: []PacketConn{e.callers, e.data},
+		readers: []func() error{
+			func() error { return receive(e.callers, e.readFailed, e.fromCaller) },
+			func() error { return receive(e.data, e.readFailed, e.fromPeer) },
+		},
+		tick:  e.tick,
+		drain: e.drain,
+	}
+	return f.run(ctx)
 }
 
-func (e *Entry) awaitStop(ctx context.Context) {
-	select {
-	case <-ctx.Done():
+func (e *Entry) drain(ctx context.Context) {
+	if !e.stop.wait(ctx) {
 		return
-	case <-e.stop:
 	}
 	period := min(entryDrain, e.settings.Grace()/2)
 	e.deps.Log.Info("draining", "seconds", period.Seconds())
--- /dev/null
+++ b/internal/passthrough/homes.go
@@ -0,0 +1,73 @@
+package passthrough
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"crocusnotch/internal/flow"
+)
+
+// Forget lets homes that restarted hear of all flows again.
+func (r *Router) Forget(entry flow.End) {
+	for k, f := range r.flows {
+		for i, h := range f.homes {
+			if h == entry {
+				f.homes[i] = flow.End{}
+				r.register(k, f)
+			}
+		}
+	}
+}
+
+// register tells the homes of a flow its owner, those excepted that know it.
+func (r *Router) register(k flow.Key, f *routed) {
+	homes := flow.HomesOf(k, r.view.Entries)
+	for _, h := range homes {
+		if !h.IsZero() && h != r.view.Self && !f.homes.Has(h) {
+			r.pending[h] = append(r.pending[h], Pair{Key: k, Owner: f.owner})
+		}
+	}
+	f.homes = homes
+}
+
+// lookup answers another entry that asks for the owner of a flow, and hands the
+// packet on.
+func (r *Router) lookup(from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateOwned {
+		r.out.Tell(from, &Message{Kind: KindUnknown, Key: m.Key})
+		return
+	}
+	r.out.Tell(from, &Message{Kind: KindOwned, Key: m.Key, Owner: f.owner})
+	r.out.Carry(f.owner, r.note(m.Key, flow.PurposeOwner, f.owner), m.Packet)
+}
+
+func (r *Router) registered(now time.Time, m *Message) {
+	for _, p := range m.Pairs {
+		f := r.flows[p.Key]
+		if f == nil {
+			f = &routed{opened: now, seen: now}
+			r.flows[p.Key] = f
+		}
+		if f.state == stateOwned && f.owner == p.Owner {
+			continue
+		}
+		delete(r.searching, p.Key)
+		f.state, f.owner, f.held = stateOwned, p.Owner, nil
+		f.homes = flow.HomesOf(p.Key, r.view.Entries)
+		r.release(p.Key, f)
+	}
+}
+
+func (r *Router) flush() {
+	for _, home := range slices.SortedFunc(maps.Keys(r.pending), flow.End.Compare) {
+		pairs := r.pending[home]
+		for len(pairs) > 0 {
+			n := min(len(pairs), maxPairs)
+			r.out.Tell(home, &Message{Kind: KindRegister, Pairs: pairs[:n]})
+			pairs = pairs[n:]
+		}
+		delete(r.pending, home)
+	}
+}
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -1,8 +1,6 @@
 package passthrough
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"crocusnotch/internal/config"
@@ -393,75 +391,3 @@
 	a.denied[k] = now
 	a.notHeld(k, f.origin, packet)
 }
-
-func (a *Keeper) load() flow.Load { return flow.Load{Busy: a.average, Flows: len(a.flows)} }
-
-func (a *Keeper) noteReporter(now time.Time, entry flow.End) {
-	r := a.reporters[entry]
-	if r == nil {
-		if len(a.reporters) >= maxReporters {
-			return
-		}
-		r = &reporter{}
-		a.reporters[entry] = r
-	}
-	r.seen = now
-}
-
-// Tick averages and reports the load and forgets old flows.
-func (a *Keeper) Tick(now time.Time) {
-	a.average += (float64(a.busy) - a.average) * loadShare
-	a.listen()
-	for _, entry := range slices.SortedFunc(maps.Keys(a.reporters), flow.End.Compare) {
-		r := a.reporters[entry]
-		if now.Sub(r.seen) > reporterLife {
-			delete(a.reporters, entry)
-			continue
-		}
-		if now.Sub(r.told) >= reportPeriod {
-			r.told = now
-			a.Out.Tell(entry, &Message{Kind: KindLoad, Load: a.load()})
-		}
-	}
-	if now.Sub(a.swept) >= sweepPeriod {
-		a.swept = now
-		a.sweep(now)
-	}
-}
-
-// listen takes an upstream that has given no sign of life for long for ended.
-func (a *Keeper) listen() {
-	a.quiet++
-	if a.unanswered > 0 {
-		a.unanswered++
-	}
-	absent := a.upstream.Last().Born == 0 && time.Duration(a.unanswered)*tickPeriod > probeWait
-	if a.silent || !absent && time.Duration(a.quiet)*tickPeriod <= a.Silence {
-		return
-	}
-	a.silent = true
-	a.Observe(Decision{What: DecisionSilent, Tries: len(a.flows)})
-	if born := a.upstream.Last().Born; born != 0 {
-		a.endAll(born)
-	}
-}
-
-func (a *Keeper) sweep(now time.Time) {
-	for k, f := range a.flows {
-		limit := a.idle + closedLife
-		if f.state == keptProbing {
-			limit = probeMemory
-		}
-		if now.Sub(f.seen) > limit {
-			a.forget(k, f)
-		}
-		if f.busy && now.Sub(f.asked) > busyLife {
-			a.answered(f)
-		}
-	}
-	for k, at := range a.denied {
-		if now.Sub(at) > probeMemory {
-			delete(a.denied, k)
-		}
-	}
-}
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -164,18 +164,6 @@
 	}
 }
 
-// Forget lets homes that restarted hear of all flows again.
-func (r *Router) Forget(entry flow.End) {
-	for k, f := range r.flows {
-		for i, h := range f.homes {
-			if h == entry {
-				f.homes[i] = flow.End{}
-				r.register(k, f)
-			}
-		}
-	}
-}
-
 // Packet routes one packet of a caller.
 func (r *Router) Packet(now time.Time, s *flow.Segment, packet []byte) {
 	k := s.FromCaller()
@@ -232,94 +220,12 @@
 	return slices.Contains(r.view.Past[k.Route().AddrPort()], service)
 }
 
-// open places a new flow, or passes on a copy of its opening packet.
-func (r *Router) open(now time.Time, k flow.Key, f *routed, s *flow.Segment, packet []byte) {
-	route := r.view.Fleet.Routes[k.Route().AddrPort()]
-	if route == nil {
-		r.noRoute(now, k, s)
-		return
-	}
-	if f == nil || f.state != stateOwned && f.state != statePlacing || f.state == stateOwned && !r.mayOwn(f.owner) {
-		f = &routed{opened: now}
-		r.flows[k] = f
-		delete(r.searching, k)
-	}
-	f.seen, f.seq = now, 0
-	if f.state == stateOwned {
-		r.out.Carry(f.owner, r.note(k, flow.PurposeOpen, f.owner), packet)
-		return
-	}
-	if !f.owner.IsZero() {
-		if s.Ack <= f.copies {
-			return
-		}
-		// The agent that got the last copy has not answered it.
-		r.placement.Avoid(now, f.owner)
-		f.tried = append(f.tried[:0], f.owner)
-	} else {
-		f.tried = f.tried[:0]
-	}
-	f.copies = s.Ack
-	r.place(now, k, f, route, packet, flow.RefusalNone)
-}
-
 // report adds the version of the routes to a decision.
 func (r *Router) report(d Decision) {
 	d.Version = r.view.Fleet.Version
 	r.observe(d)
 }
 
-// noRoute answers an opening packet for an address that is no route.
-func (r *Router) noRoute(now time.Time, k flow.Key, _ *flow.Segment) {
-	if now.Sub(r.fresh) > freshConfig {
-		r.report(Decision{What: DecisionNoRoute, Reason: "configuration-old", Key: k})
-		return
-	}
-	r.report(Decision{What: DecisionNoRoute, Reason: "reset", Key: k})
-	r.out.Reset(k, 0)
-}
-
-// place offers a new flow to an agent that has not refused it.
-func (r *Router) place(now time.Time, k flow.Key, f *routed, route *config.Route, packet []byte, last flow.Refusal) {
-	service := flow.ServiceOf(route, k)
-	agents := r.view.Agents[config.ServiceID(service)]
-	purpose := flow.PurposeOpen
-	var agent flow.Agent
-	ok := false
-	if len(f.tried) < maxTries {
-		agent, ok = r.placement.Choose(now, k, agents, f.tried)
-	}
-	if !ok && last == flow.RefusalBusy {
-		// All are busy: the least loaded one queues the flow.
-		purpose = flow.PurposeOpenIn
-		agent, ok = r.placement.Choose(now, k, agents, nil)
-	}
-	if !ok {
-		r.nobody(k, f, last)
-		return
-	}
-	f.state, f.owner, f.since = statePlacing, agent.Addr, now
-	f.tried = append(f.tried, agent.Addr)
-	r.report(Decision{What: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
-	r.out.Carry(agent.Addr, flow.Note{Purpose: purpose, Service: config.ServiceTag(service)}, packet)
-}
-
-// nobody ends an attempt that no agent takes. As long as the caller sends
-// another copy, which an agent may take by then, there is no answer.
-func (r *Router) nobody(k flow.Key, f *routed, last flow.Refusal) {
-	reason := last.String()
-	if last == flow.RefusalNone {
-		reason = "no-agent"
-	}
-	r.report(Decision{What: DecisionNobody, Reason: reason, Key: k, Tries: len(f.tried)})
-	f.state, f.owner, f.since = stateLost, flow.End{}, time.Time{}
-	if f.copies < lastCopy {
-		return
-	}
-	delete(r.flows, k)
-	r.out.Reset(k, 0)
-}
-
 // Message takes a message from an agent or another entry.
 func (r *Router) Message(now time.Time, from flow.End, m *Message) {
 	switch m.Kind {
@@ -343,237 +249,6 @@
 	}
 }
 
-func (r *Router) owned(now time.Time, from flow.End, m *Message) {
-	if m.Owner.IsZero() {
-		m.Owner = from // the agent speaks of itself
-		r.placement.Report(now, from, m.Load)
-	}
-	f := r.flows[m.Key]
-	if f == nil {
-		f = &routed{opened: now, seen: now}
-		r.flows[m.Key] = f
-	}
-	if f.state == stateOwned && f.owner == m.Owner {
-		return
-	}
-	what := DecisionOwned
-	if f.state != statePlacing {
-		what = DecisionFound
-	}
-	r.report(Decision{What: what, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.opened)})
-	delete(r.searching, m.Key)
-	if f.state == stateSearching && f.stage >= flow.HomeCount && len(f.held) > 0 && !f.sounded {
-		r.out.Carry(m.Owner, r.note(m.Key, flow.PurposeOwner, m.Owner), f.held)
-	}
-	f.state, f.owner, f.held, f.tried = stateOwned, m.Owner, nil, nil
-	f.homes = flow.Homes{}
-	r.register(m.Key, f)
-	r.release(m.Key, f)
-}
-
-// release passes on what came during a search.
-func (r *Router) release(k flow.Key, f *routed) {
-	for _, packet := range f.queue {
-		r.out.Carry(f.owner, r.note(k, flow.PurposeOwner, f.owner), packet)
-	}
-	f.queue = nil
-}
-
-// register tells the homes of a flow its owner, those excepted that know it.
-func (r *Router) register(k flow.Key, f *routed) {
-	homes := flow.HomesOf(k, r.view.Entries)
-	for _, h := range homes {
-		if !h.IsZero() && h != r.view.Self && !f.homes.Has(h) {
-			r.pending[h] = append(r.pending[h], Pair{Key: k, Owner: f.owner})
-		}
-	}
-	f.homes = homes
-}
-
-func (r *Router) refused(now time.Time, from flow.End, m *Message) {
-	f := r.flows[m.Key]
-	r.report(Decision{What: DecisionRefused, Reason: m.Reason.String(), Key: m.Key, Agent: from})
-	if f == nil || f.state != statePlacing || f.owner != from {
-		return
-	}
-	route := r.view.Fleet.Routes[m.Key.Route().AddrPort()]
-	if route == nil {
-		r.nobody(m.Key, f, m.Reason)
-		return
-	}
-	r.place(now, m.Key, f, route, m.Packet, m.Reason)
-}
-
-// notHeld looks elsewhere for a flow that an agent does not hold.
-func (r *Router) notHeld(now time.Time, from flow.End, m *Message) {
-	f := r.flows[m.Key]
-	if f != nil && f.state == stateSearching && f.stage == flow.HomeCount {
-		r.denied(now, from, m.Key, f)
-		return
-	}
-	if f == nil || f.owner != from || len(m.Packet) == 0 {
-		return
-	}
-	r.report(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened)})
-	f.owner = flow.End{}
-	f.held = append(f.held[:0], m.Packet...)
-	f.state, f.stage = stateSearching, flow.HomeCount
-	r.searching[m.Key] = f
-	r.askAgents(now, m.Key, f, from)
-}
-
-// denied counts an agent that does not own a flow. When all have said so the
-// caller is told, so that it need not wait for its deadline.
-func (r *Router) denied(now time.Time, from flow.End, k flow.Key, f *routed) {
-	if slices.Contains(f.denied, from) {
-		return
-	}
-	f.denied = append(f.denied, from)
-	f.probed = slices.DeleteFunc(f.probed, func(e flow.End) bool { return e == from })
-	if len(f.denied) < f.asked {
-		r.probe(k, f)
-		return
-	}
-	delete(r.searching, k)
-	if !r.knowsAgents(now) {
-		// Asks again when the set of agents has settled.
-		r.report(Decision{What: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.asked})
-		f.stage = stageParked
-		r.searching[k] = f
-		return
-	}
-	f.held, f.queue = nil, nil
-	r.report(Decision{What: DecisionLost, Key: k, Tries: f.asked})
-	f.state = stateGone
-	r.out.Reset(k, f.seq)
-}
-
-// knowsAgents reports whether no agent has come or gone for a while, so that the
-// known ones are all that can own a flow.
-func (r *Router) knowsAgents(now time.Time) bool {
-	return !r.changed.IsZero() && now.Sub(r.changed) >= settledAfter
-}
-
-// mayHold notes an agent whose upstream has to tell.
-func (r *Router) mayHold(from flow.End, m *Message) {
-	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount || slices.Contains(f.probed, from) {
-		return
-	}
-	f.probed = append(f.probed, from)
-	r.probe(m.Key, f)
-}
-
-// probe gives the packet of a search to the agents whose upstreams have to tell,
-// once all agents with an upstream have answered. A missing one may be the
-// owner, and the packets would reach other upstreams only.
-func (r *Router) probe(k flow.Key, f *routed) {
-	if f.sounded || len(f.probed) == 0 || r.ownerMissing(k, f) {
-		return
-	}
-	f.sounded = true
-	for _, agent := range f.probed {
-		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
-	}
-}
-
-// ownerMissing reports whether an agent that was asked and whose upstream has
-// announced itself has not answered yet.
-func (r *Router) ownerMissing(k flow.Key, f *routed) bool {
-	if len(f.denied)+len(f.probed) >= f.asked {
-		return false
-	}
-	for _, agent := range r.view.Asked {
-		o := r.view.Owners[agent]
-		if !o.Announced || slices.Contains(f.denied, agent) || slices.Contains(f.probed, agent) {
-			continue
-		}
-		if len(r.view.Asked) <= searchAll || r.routeHas(k, o.Service) {
-			return true
-		}
-	}
-	return false
-}
-
-// startSearch asks the homes of the flow, one after the other, then all agents.
-func (r *Router) startSearch(now time.Time, k flow.Key, f *routed, packet []byte) {
-	f.state, f.stage = stateSearching, 0
-	f.held = append(f.held[:0], packet...)
-	r.searching[k] = f
-	r.askNext(now, k, f)
-}
-
-func (r *Router) askNext(now time.Time, k flow.Key, f *routed) {
-	homes := flow.HomesOf(k, r.view.Entries)
-	for ; f.stage < flow.HomeCount; f.stage++ {
-		h := homes[f.stage]
-		if h.IsZero() || h == r.view.Self {
-			continue
-		}
-		f.since = now
-		r.report(Decision{What: DecisionLookup, Key: k, Agent: h, Tries: int(f.stage) + 1})
-		r.out.Tell(h, &Message{Kind: KindLookup, Key: k, Packet: f.held})
-		return
-	}
-	r.askAgents(now, k, f, flow.End{})
-}
-
-// askAgents asks all agents that may own the flow, except one.
-func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
-	f.since, f.stage = now, flow.HomeCount
-	all := len(r.view.Owners) <= searchAll
-	f.asked, f.denied, f.probed, f.sounded = 0, f.denied[:0], f.probed[:0], false
-	for _, agent := range r.view.Asked {
-		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent].Service) {
-			continue
-		}
-		f.asked++
-		r.out.Ask(agent, r.note(k, flow.PurposeAsk, agent), f.held)
-	}
-	r.report(Decision{What: DecisionSearch, Key: k, Tries: f.asked})
-}
-
-// lookup answers another entry that asks for the owner of a flow, and hands the
-// packet on.
-func (r *Router) lookup(from flow.End, m *Message) {
-	f := r.flows[m.Key]
-	if f == nil || f.state != stateOwned {
-		r.out.Tell(from, &Message{Kind: KindUnknown, Key: m.Key})
-		return
-	}
-	r.out.Tell(from, &Message{Kind: KindOwned, Key: m.Key, Owner: f.owner})
-	r.out.Carry(f.owner, r.note(m.Key, flow.PurposeOwner, f.owner), m.Packet)
-}
-
-func (r *Router) unknown(now time.Time, from flow.End, m *Message) {
-	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage >= flow.HomeCount {
-		return
-	}
-	if flow.HomesOf(m.Key, r.view.Entries)[f.stage] != from {
-		return
-	}
-	f.stage++
-	r.askNext(now, m.Key, f)
-}
-
-func (r *Router) registered(now time.Time, m *Message) {
-	for _, p := range m.Pairs {
-		f := r.flows[p.Key]
-		if f == nil {
-			f = &routed{opened: now, seen: now}
-			r.flows[p.Key] = f
-		}
-		if f.state == stateOwned && f.owner == p.Owner {
-			continue
-		}
-		delete(r.searching, p.Key)
-		f.state, f.owner, f.held = stateOwned, p.Owner, nil
-		f.homes = flow.HomesOf(p.Key, r.view.Entries)
-		r.release(p.Key, f)
-	}
-}
-
 // Tick goes on with searches, sends registrations and forgets old flows.
 func (r *Router) Tick(now time.Time) {
 	for _, k := range sortedKeys(r.searching) {
@@ -601,35 +276,11 @@
 	}
 }
 
-// resume searches again for a flow that all agents known before have denied.
-func (r *Router) resume(now time.Time, k flow.Key, f *routed) {
-	if now.Sub(f.seen) > parkedLife {
-		delete(r.searching, k)
-		f.state, f.held, f.queue = stateLost, nil, nil
-		return
-	}
-	if r.knowsAgents(now) {
-		r.askAgents(now, k, f, flow.End{})
-	}
-}
-
 // sortedKeys makes the order in which flows are handled the same each time.
 func sortedKeys[V any](flows map[flow.Key]V) []flow.Key {
 	return slices.SortedFunc(maps.Keys(flows), func(x, y flow.Key) int { return bytes.Compare(x[:], y[:]) })
 }
 
-func (r *Router) flush() {
-	for _, home := range slices.SortedFunc(maps.Keys(r.pending), flow.End.Compare) {
-		pairs := r.pending[home]
-		for len(pairs) > 0 {
-			n := min(len(pairs), maxPairs)
-			r.out.Tell(home, &Message{Kind: KindRegister, Pairs: pairs[:n]})
-			pairs = pairs[n:]
-		}
-		delete(r.pending, home)
-	}
-}
-
 // sweep forgets the flows that are idle or old.
 func (r *Router) sweep(now time.Time) {
 	idle := r.view.Fleet.Idle + closedLife
--- /dev/null
+++ b/internal/passthrough/search.go
@@ -0,0 +1,161 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+
+	"crocusnotch/internal/flow"
+)
+
+// notHeld looks elsewhere for a flow that an agent does not hold.
+func (r *Router) notHeld(now time.Time, from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f != nil && f.state == stateSearching && f.stage == flow.HomeCount {
+		r.denied(now, from, m.Key, f)
+		return
+	}
+	if f == nil || f.owner != from || len(m.Packet) == 0 {
+		return
+	}
+	r.report(Decision{What: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.opened)})
+	f.owner = flow.End{}
+	f.held = append(f.held[:0], m.Packet...)
+	f.state, f.stage = stateSearching, flow.HomeCount
+	r.searching[m.Key] = f
+	r.askAgents(now, m.Key, f, from)
+}
+
+// denied counts an agent that does not own a flow. When all have said so the
+// caller is told, so that it need not wait for its deadline.
+func (r *Router) denied(now time.Time, from flow.End, k flow.Key, f *routed) {
+	if slices.Contains(f.denied, from) {
+		return
+	}
+	f.denied = append(f.denied, from)
+	f.probed = slices.DeleteFunc(f.probed, func(e flow.End) bool { return e == from })
+	if len(f.denied) < f.asked {
+		r.probe(k, f)
+		return
+	}
+	delete(r.searching, k)
+	if !r.knowsAgents(now) {
+		// Asks again when the set of agents has settled.
+		r.report(Decision{What: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.asked})
+		f.stage = stageParked
+		r.searching[k] = f
+		return
+	}
+	f.held, f.queue = nil, nil
+	r.report(Decision{What: DecisionLost, Key: k, Tries: f.asked})
+	f.state = stateGone
+	r.out.Reset(k, f.seq)
+}
+
+// knowsAgents reports whether no agent has come or gone for a while, so that the
+// known ones are all that can own a flow.
+func (r *Router) knowsAgents(now time.Time) bool {
+	return !r.changed.IsZero() && now.Sub(r.changed) >= settledAfter
+}
+
+// mayHold notes an agent whose upstream has to tell.
+func (r *Router) mayHold(from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount || slices.Contains(f.probed, from) {
+		return
+	}
+	f.probed = append(f.probed, from)
+	r.probe(m.Key, f)
+}
+
+// probe gives the packet of a search to the agents whose upstreams have to tell,
+// once all agents with an upstream have answered. A missing one may be the
+// owner, and the packets would reach other upstreams only.
+func (r *Router) probe(k flow.Key, f *routed) {
+	if f.sounded || len(f.probed) == 0 || r.ownerMissing(k, f) {
+		return
+	}
+	f.sounded = true
+	for _, agent := range f.probed {
+		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
+	}
+}
+
+// ownerMissing reports whether an agent that was asked and whose upstream has
+// announced itself has not answered yet.
+func (r *Router) ownerMissing(k flow.Key, f *routed) bool {
+	if len(f.denied)+len(f.probed) >= f.asked {
+		return false
+	}
+	for _, agent := range r.view.Asked {
+		o := r.view.Owners[agent]
+		if !o.Announced || slices.Contains(f.denied, agent) || slices.Contains(f.probed, agent) {
+			continue
+		}
+		if len(r.view.Asked) <= searchAll || r.routeHas(k, o.Service) {
+			return true
+		}
+	}
+	return false
+}
+
+// startSearch asks the homes of the flow, one after the other, then all agents.
+func (r *Router) startSearch(now time.Time, k flow.Key, f *routed, packet []byte) {
+	f.state, f.stage = stateSearching, 0
+	f.held = append(f.held[:0], packet...)
+	r.searching[k] = f
+	r.askNext(now, k, f)
+}
+
+func (r *Router) askNext(now time.Time, k flow.Key, f *routed) {
+	homes := flow.HomesOf(k, r.view.Entries)
+	for ; f.stage < flow.HomeCount; f.stage++ {
+		h := homes[f.stage]
+		if h.IsZero() || h == r.view.Self {
+			continue
+		}
+		f.since = now
+		r.report(Decision{What: DecisionLookup, Key: k, Agent: h, Tries: int(f.stage) + 1})
+		r.out.Tell(h, &Message{Kind: KindLookup, Key: k, Packet: f.held})
+		return
+	}
+	r.askAgents(now, k, f, flow.End{})
+}
+
+// askAgents asks all agents that may own the flow, except one.
+func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
+	f.since, f.stage = now, flow.HomeCount
+	all := len(r.view.Owners) <= searchAll
+	f.asked, f.denied, f.probed, f.sounded = 0, f.denied[:0], f.probed[:0], false
+	for _, agent := range r.view.Asked {
+		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent].Service) {
+			continue
+		}
+		f.asked++
+		r.out.Ask(agent, r.note(k, flow.PurposeAsk, agent), f.held)
+	}
+	r.report(Decision{What: DecisionSearch, Key: k, Tries: f.asked})
+}
+
+func (r *Router) unknown(now time.Time, from flow.End, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || f.stage >= flow.HomeCount {
+		return
+	}
+	if flow.HomesOf(m.Key, r.view.Entries)[f.stage] != from {
+		return
+	}
+	f.stage++
+	r.askNext(now, m.Key, f)
+}
+
+// resume searches again for a flow that all agents known before have denied.
+func (r *Router) resume(now time.Time, k flow.Key, f *routed) {
+	if now.Sub(f.seen) > parkedLife {
+		delete(r.searching, k)
+		f.state, f.held, f.queue = stateLost, nil, nil
+		return
+	}
+	if r.knowsAgents(now) {
+		r.askAgents(now, k, f, flow.End{})
+	}
+}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -230,21 +229,14 @@
 // configure writes the next version of the configuration.
 func (f *fleet) configure() {
 	f.version++
-	var list []string
+	var list []platformtest.Route
 	for _, s := range services {
-		list = append(list, route(routes[s], s))
+		list = append(list, platformtest.Route{Address: routes[s], Service: s})
 	}
 	for i := range f.extra {
-		list = append(list, route(extraRoute(i), services[i%len(services)]))
+		list = append(list, platformtest.Route{Address: extraRoute(i), Service: services[i%len(services)]})
 	}
-	f.store.Put("config", "main", fmt.Sprintf(
-		`{"Version":%d,"Routes":[%s],"Services":[{"Name":"alpha","MaxConns":500,"WarmupPerS":0},`+
-			`{"Name":"beta","MaxConns":500,"WarmupPerS":0}],"Limits":{"IdleTimeoutMs":15000}}`,
-		f.version, strings.Join(list, ",")))
-}
-
-func route(a netip.AddrPort, service string) string {
-	return fmt.Sprintf(`{"Name":"r-%s","Host":"%s","PathPrefix":"/%d/","Service":"%s"}`, a, a.Addr(), a.Port(), service)
+	f.store.Put("config", "main", platformtest.Configuration(f.version, list, services))
 }
 
 func extraRoute(i int) netip.AddrPort {
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -11,6 +11,7 @@
 
 	"crocusnotch/internal/flow"
 	"crocusnotch/platform"
+	"crocusnotch/platform/platformtest"
 )
 
 // Bits of a packet's flags, and offsets, as the platform's pages have them.
@@ -99,9 +100,7 @@
 	if a.leaving {
 		state = "draining"
 	}
-	body := fmt.Sprintf(
-		`{"Service":%q,"Address":"%s","Zone":%q,"Version":"v1","Slots":5,"State":%q,"WarmupLeftMs":0,"Seq":%d,"born":%d}`,
-		a.service, a.conn.LocalAddr(), a.zone, state, a.sequence, born)
+	body := platformtest.Announcement(a.service, a.conn.LocalAddr().String(), a.zone, state, a.sequence, born)
 	url := "http://" + a.f.addr(kindAgent, a.i, portAnnounce).String() + "/instances/" + a.id()
 	mute, leaving := a.mute, a.leaving
 	a.mu.Unlock()
