Let agents learn that a zone is back from entries that never knew it out

The new entries knew nothing of it, so nobody told the agents, which refused every flow as zone-out for as long as they ran. Change: the age of the configuration is spread with the store's revision; an agent shows the zones that it takes for out in its heartbeats, and an entry with a fresh view answers with the deletion of what the store no longer has.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -135,17 +135,18 @@
 	}
 	type answer struct {
 		page
-		next int
+		next     int
+		revision uint64
 	}
 	done := make(chan answer, 1)
 	n.command(func(time.Time) {
 		records, objects, next := n.core.Snapshot(q)
-		done <- answer{page: page{Records: records, Objects: objects}, next: next}
+		done <- answer{page: page{Records: records, Objects: objects}, next: next, revision: n.core.FreshRevision()}
 	})
 	select {
 	case a := <-done:
 		b, err := encodePage(a.page)
-		return wire.SnapshotResult{Page: b, Next: a.next, AgeMillis: n.ageMillis()}, err
+		return wire.SnapshotResult{Page: b, Next: a.next, AgeMillis: n.ageMillis(), Revision: a.revision}, err
 	case <-n.stopped:
 		return wire.SnapshotResult{}, errStopped
 	case <-ctx.Done():
--- a/internal/fleet/fresh_test.go
+++ b/internal/fleet/fresh_test.go
@@ -53,7 +53,7 @@
 			Kind: config.KindRoutes, Name: config.RoutesName, Revision: 3,
 			Value: []byte(`{"version":1,"routes":[],"idleMillis":1}`),
 		}})
-		n.core.Verified(now, now)
+		n.core.Verified(now, now, 3)
 		n.act(now)
 		n.publishFresh()
 		is.True(n.Config().Routes == nil)
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -196,7 +196,7 @@
 	}
 	n.learn(page.Records, page.Objects)
 	if result.Next == 0 && result.AgeMillis >= 0 {
-		n.verified(time.Now().Add(-time.Duration(result.AgeMillis) * time.Millisecond))
+		n.verified(time.Now().Add(-time.Duration(result.AgeMillis)*time.Millisecond), result.Revision)
 	}
 	return result.Next, nil
 }
@@ -236,7 +236,7 @@
 	n.noteStore("config", err)
 	if err == nil {
 		n.learn(nil, list.Objects)
-		n.verified(at)
+		n.verified(at, list.Revision)
 	}
 }
 
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -91,9 +91,10 @@
 	return stalePoll
 }
 
-// verified tells the core that the objects were read at the time at.
-func (n *Node) verified(at time.Time) {
-	n.command(func(now time.Time) { n.core.Verified(now, at) })
+// verified tells the core that the objects were those of the store at the time
+// at and at the revision.
+func (n *Node) verified(at time.Time, revision uint64) {
+	n.command(func(now time.Time) { n.core.Verified(now, at, revision) })
 }
 
 // watchOnce makes one call to the store: a list at first, then a watch.
@@ -111,7 +112,7 @@
 	}
 	at := time.Now()
 	n.learn(nil, got.Objects)
-	n.verified(at)
+	n.verified(at, got.Revision)
 	return max(from, got.Revision), nil
 }
 
@@ -144,7 +145,7 @@
 			}
 		}
 		n.core.Learn(now, nil, list.Objects)
-		n.core.Verified(now, at)
+		n.core.Verified(now, at, list.Revision)
 	})
 	return list.Revision, nil
 }
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -223,6 +223,7 @@
 		Epoch:   w.epoch,
 		Seq:     w.seen,
 		Follow:  c.agent.follow,
+		Stubs:   c.heldZonesOut(),
 		Needy:   len(c.table.entries) < fewEntries && c.agent.turn%needyPeriods == 0,
 	})
 }
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -72,6 +72,7 @@
 		reply.Records = append(reply.Records, *newer)
 	}
 	reply.Records = append(reply.Records, c.confirm(now, m.Records[1:])...)
+	reply.Objects = c.deletedSince(now, m.Stubs)
 	if m.Needy {
 		for _, e := range c.randomEntries(entriesInReply, netip.AddrPort{}) {
 			reply.Records = append(reply.Records, e.Record)
--- a/internal/membership/fresh.go
+++ b/internal/membership/fresh.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"crocusnotch/internal/config"
 )
 
 // Bounds of spreading how fresh the objects are.
@@ -15,24 +17,31 @@
 	freshWithin = 24
 	// freshStep is the gain below which a report is not passed on.
 	freshStep = 400 * time.Millisecond
+	// freshEnough is the age up to which an entry says that an object is not in
+	// the store: above it entries read the store themselves.
+	freshEnough = 3 * time.Second
 )
 
 // freshState is what is known of the age of the objects.
 type freshState struct {
 	at time.Time // local time at which the objects were the store's latest
+	// revision is that of the store at which they were. What is not known here
+	// and is of a lower revision has been deleted.
+	revision uint64
 }
 
 // Fresh returns the last time at which the known objects were those of the
 // store; zero when that was never known.
 func (c *Core) Fresh() time.Time { return c.fresh.at }
 
-// Verified notes that the known objects were those of the store at the time
-// at, and tells other entries.
-func (c *Core) Verified(now, at time.Time) {
+// Verified notes that the known objects were those of the store at the time at
+// and at the revision, and tells other entries.
+func (c *Core) Verified(now, at time.Time, revision uint64) {
 	if c.self.Role != RoleEntry || !at.After(c.fresh.at) {
 		return
 	}
 	c.fresh.at = at
+	c.fresh.revision = max(c.fresh.revision, revision)
 	if c.left {
 		return
 	}
@@ -46,7 +55,7 @@
 func (c *Core) tellFresh(now time.Time, peers []*member) {
 	age := uint32(now.Sub(c.fresh.at).Milliseconds())
 	for _, p := range peers {
-		c.send(p.Control, &Message{Kind: KindFresh, Age: age, Config: c.objects.sum})
+		c.send(p.Control, &Message{Kind: KindFresh, Age: age, Seq: c.fresh.revision, Config: c.objects.sum})
 	}
 }
 
@@ -62,7 +71,43 @@
 		return
 	}
 	c.fresh.at = at
+	c.fresh.revision = max(c.fresh.revision, m.Seq)
 	if gain >= freshStep && len(c.table.entries) > freshWithin {
 		c.tellFresh(now, c.randomEntries(freshFanout, m.From))
 	}
 }
+
+// FreshRevision returns the revision of the store that Fresh is about.
+func (c *Core) FreshRevision() uint64 { return c.fresh.revision }
+
+// heldZonesOut lists the zones that an agent takes for out. Entries that all
+// restarted know nothing of one that has come back since.
+func (c *Core) heldZonesOut() []Stub {
+	var out []Stub
+	for i := range c.objects.buckets {
+		for id, o := range c.objects.buckets[i] {
+			if id.Kind == config.KindZoneOut && !o.latest.Deleted {
+				out = append(out, Stub{Kind: id.Kind, Name: id.Name, Revision: o.latest.Revision})
+			}
+		}
+	}
+	return out
+}
+
+// deletedSince returns those of an agent's objects that are newer here, or that
+// the store no longer has.
+func (c *Core) deletedSince(now time.Time, held []Stub) []config.Object {
+	var out []config.Object
+	for _, s := range held {
+		known := c.objects.get(s.ID())
+		switch {
+		case known != nil:
+			if known.latest.Revision > s.Revision {
+				out = append(out, known.latest)
+			}
+		case now.Sub(c.fresh.at) <= freshEnough && c.fresh.revision > s.Revision:
+			out = append(out, config.Object{Kind: s.Kind, Name: s.Name, Revision: c.fresh.revision, Deleted: true})
+		}
+	}
+	return out
+}
--- a/internal/membership/fresh_test.go
+++ b/internal/membership/fresh_test.go
@@ -51,11 +51,12 @@
 	a.Learn(freshStart, []Record{b.self}, nil)
 	b.Learn(freshStart, []Record{a.self}, nil)
 	is.True(b.Fresh().IsZero())
-	a.Verified(freshStart.Add(time.Second), freshStart.Add(700*time.Millisecond))
+	a.Verified(freshStart.Add(time.Second), freshStart.Add(700*time.Millisecond), 3)
 	exchange(freshStart.Add(time.Second), a, b)
 	is.Equal(b.Fresh(), freshStart.Add(700*time.Millisecond))
-	a.Verified(freshStart.Add(time.Second), freshStart) // an older reading
+	a.Verified(freshStart.Add(time.Second), freshStart, 2) // an older reading
 	is.Equal(a.Fresh(), freshStart.Add(700*time.Millisecond))
+	is.Equal(b.FreshRevision(), uint64(3))
 }
 
 func TestFreshnessOfOtherObjectsIsNotTakenOver(t *testing.T) {
@@ -65,7 +66,7 @@
 	a.Drain()
 	a.Learn(freshStart, nil, []config.Object{zoneOut(7)})
 	a.Drain() // the object is lost on the way
-	a.Verified(freshStart, freshStart)
+	a.Verified(freshStart, freshStart, 7)
 	exchange(freshStart, a, b)
 	is.True(b.Fresh().IsZero())
 }
@@ -74,7 +75,7 @@
 	is := is.New(t)
 	a := freshCore(1, RoleEntry)
 	a.Tick(freshStart)
-	a.Verified(freshStart, freshStart)
+	a.Verified(freshStart, freshStart, 7)
 	a.Tick(freshStart.Add(5 * time.Second))
 	is.True(a.Fresh().IsZero())
 }
@@ -123,3 +124,33 @@
 	is.True(agent.objects.get(config.ID{Kind: config.KindPool, Name: "t"}) == nil)
 	is.True(agent.objects.get(config.ID{Kind: config.KindRoutes, Name: config.RoutesName}) == nil)
 }
+
+// A zone comes back while every entry restarts: the entries know nothing of it,
+// and the agents must not take it for out any longer.
+func TestAgentLearnsThatAZoneIsBackFromEntriesThatNeverKnewItOut(t *testing.T) {
+	is := is.New(t)
+	before := freshCore(1, RoleEntry)
+	before.Learn(freshStart, nil, []config.Object{zoneOut(7)})
+	agent := freshCore(9, RoleAgent, before.self.Control)
+	agent.Tick(freshStart)
+	exchange(freshStart, agent, before)
+	out := func() bool { return !agent.objects.get(config.ID{Kind: config.KindZoneOut, Name: "z"}).latest.Deleted }
+	is.True(out())
+
+	after := freshCore(1, RoleEntry)
+	after.self.Incarnation++
+	now := freshStart.Add(2 * time.Second)
+	beat := func() {
+		agent.Tick(now)
+		exchange(now, agent, after)
+		now = now.Add(time.Second)
+	}
+	beat()
+	is.True(out()) // nothing is known of the store yet
+	after.Verified(now, now, 7)
+	beat()
+	is.True(out()) // the zone may have been taken out at that revision
+	after.Verified(now, now, 8)
+	beat()
+	is.True(!out())
+}
--- a/internal/wire/snapshot.go
+++ b/internal/wire/snapshot.go
@@ -24,4 +24,6 @@
 	// AgeMillis is how long ago the objects were the store's latest; -1 when
 	// that is not known.
 	AgeMillis int64 `json:"ageMillis"`
+	// Revision is the store's at which they were.
+	Revision uint64 `json:"revision"`
 }
