Keep flows that an upstream took before its first announcement

Change: only flows opened up to the last announcement of the start before end with it; a later one is settled by the upstream with the next packet. The soak waits for its processes to end before the next run (: an address was still in use).

--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -140,25 +140,35 @@
 // Announce takes an announcement of the upstream. The flows of an upstream that
 // has ended are reset, so that their callers need not wait for a deadline.
 func (a *Keeper) Announce(now time.Time, n flow.Announcement) flow.Announced {
-	before := a.upstream.Last().Born
+	before, heard := a.upstream.Last().Born, a.upstream.Heard()
 	outcome := a.upstream.Announce(now, n)
 	last := a.upstream.Last()
 	if outcome != flow.AnnouncedLate {
 		a.lives()
 	}
-	if outcome == flow.AnnouncedChanged && before != 0 && (last.Gone || last.Born != before) {
-		a.endAll(before)
+	switch {
+	case outcome != flow.AnnouncedChanged || before == 0:
+	case last.Gone:
+		a.endAll(before, now)
+	case last.Born != before:
+		a.endAll(before, heard)
 	}
 	return outcome
 }
 
-// endAll resets the flows of the upstream that was started at born.
-func (a *Keeper) endAll(born int64) {
+// endAll ends the flows of the upstream that was started at born, as far as they
+// were opened up to the time until. A later one may already be held by the next
+// start, which takes flows before its first announcement: its upstream tells with
+// the next packet.
+func (a *Keeper) endAll(born int64, until time.Time) {
 	for k, f := range a.flows {
-		if f.born != born {
-			continue
+		switch {
+		case f.born != born:
+		case f.opened.After(until):
+			f.born = 0
+		default:
+			a.end(k, f, f.ack)
 		}
-		a.end(k, f, f.ack)
 	}
 }
 
--- a/internal/passthrough/keeper_test.go
+++ b/internal/passthrough/keeper_test.go
@@ -124,3 +124,27 @@
 		})
 	}
 }
+
+// The next start of an upstream takes a flow before it announces itself: the
+// flow is not one of those that ended with the start before.
+func TestFlowOpenedBeforeTheFirstAnnouncement(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 1, 3)
+	for _, a := range w.agents {
+		a.upstream.dead = true
+		a.upstream = w.newUpstream() // not announced yet
+	}
+	w.now = w.now.Add(50 * time.Millisecond)
+	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+	is.True(c.open)
+	w.request(c, w.entries[0])
+	is.Equal(c.sent, 0)
+	w.now = w.now.Add(50 * time.Millisecond)
+	for _, a := range w.agents {
+		a.beat()
+	}
+	is.True(!c.reset)
+	w.request(c, w.entries[0])
+	is.Equal(c.sent, 0)
+	is.True(!c.reset)
+}
--- a/internal/passthrough/upkeep.go
+++ b/internal/passthrough/upkeep.go
@@ -25,7 +25,7 @@
 // Tick averages and reports the load and forgets old flows.
 func (a *Keeper) Tick(now time.Time) {
 	a.average += (float64(a.busy) - a.average) * loadShare
-	a.listen()
+	a.listen(now)
 	for _, entry := range slices.SortedFunc(maps.Keys(a.reporters), flow.End.Compare) {
 		r := a.reporters[entry]
 		if now.Sub(r.seen) > reporterLife {
@@ -44,7 +44,7 @@
 }
 
 // listen takes an upstream that has given no sign of life for long for ended.
-func (a *Keeper) listen() {
+func (a *Keeper) listen(now time.Time) {
 	a.quiet++
 	if a.unanswered > 0 {
 		a.unanswered++
@@ -56,7 +56,7 @@
 	a.silent = true
 	a.Observe(Decision{What: DecisionSilent, Tries: len(a.flows)})
 	if born := a.upstream.Last().Born; born != 0 {
-		a.endAll(born)
+		a.endAll(born, now)
 	}
 }
 
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -180,6 +180,11 @@
 			p.signal(syscall.SIGCONT)
 			p.signal(syscall.SIGKILL)
 		}
+		for _, p := range f.processes() {
+			if p.done != nil {
+				p.wait(time.Second) // its ports are free for the next run
+			}
+		}
 		f.callers.close()
 		_ = server.Close()
 		f.proxy.close()
