--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -32,6 +32,7 @@
 	open    bool
 	reset   bool
 	seq     uint32
+	used    time.Time // last exchange
 }
 
 func newCallers(f *fleet) *callers {
@@ -147,6 +148,7 @@
 	}()
 	c.mu.Lock()
 	c.seq++
+	c.used = time.Now()
 	seq := c.seq
 	c.mu.Unlock()
 	for len(c.answers) > 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,9 @@
 	touch = 4 * time.Second
 	// calmWait is the time after the last fault within which all must be well.
 	calmWait = 6 * time.Second
+	// idleTimeout is the time after which the configuration lets flows be
+	// discarded, less a second for the check itself.
+	idleTimeout = 14 * time.Second
 	// inForce is the time within which a change of the configuration must be in
 	// force.
 	inForce = 3 * time.Second
@@ -196,14 +199,15 @@
 	}
 }
 
-// stillOpen returns the flows that were open at the end of the storm.
+// stillOpen returns the flows that were open at the end of the storm and have not
+// been idle for so long that they may be discarded.
 func (c *callers) stillOpen() []*caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []*caller
 	for _, k := range c.all {
 		k.mu.Lock()
-		if k.open && c.f.owned(k.key) {
+		if k.open && time.Since(k.used) < idleTimeout && c.f.owned(k.key) {
 			out = append(out, k)
 		}
 		k.mu.Unlock()
