Know all flows of an upstream that started together with its agent

Change: announcements 2 and 3 count as first when the upstream was started no earlier than 0.5 s before the agent.

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -298,3 +298,24 @@
 	is.True(u.Last().Gone)
 	is.Equal(u.Last().Born, int64(100))
 }
+
+// After a loss of power the upstream announces itself before its agent listens.
+func TestUpstreamThatStartedWithItsAgent(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sequence int64
+		born     time.Duration // after the agent
+		want     bool
+	}{
+		"together":                    {2, 3 * time.Millisecond, true},
+		"a little before":             {3, -youngBirth, true},
+		"long before":                 {2, -youngBirth - time.Millisecond, false},
+		"has announced itself before": {youngSequence + 1, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := NewUpstream(start)
+			u.Announce(start, Announcement{ID: "i", Born: start.Add(tt.born).UnixMilli(), Sequence: tt.sequence})
+			is.Equal(u.FirstSeen(), tt.want)
+		})
+	}
+}
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -19,11 +19,13 @@
 
 // Upstream is the state of the upstream beside an agent, as announced.
 type Upstream struct {
-	last      Announcement
-	known     bool
-	first     bool // its first announcement came here
-	coldUntil time.Time
-	heard     time.Time
+	last  Announcement
+	known bool
+	first bool // its first announcement came here
+
+	agentStarted time.Time
+	coldUntil    time.Time
+	heard        time.Time
 }
 
 // Verdict on an announcement.
@@ -47,7 +49,7 @@
 		a = gone
 	}
 	before := *u
-	u.first = !a.Gone && a.Sequence <= firstSequence || u.first && before.last.Born == a.Born
+	u.first = !a.Gone && u.isFirst(a) || u.first && before.last.Born == a.Born
 	u.last, u.known, u.heard = a, true, now
 	u.coldUntil = now.Add(a.ColdLeft)
 	if !before.known || before.state(now) != u.state(now) || before.last.Born != a.Born || before.last.ID != a.ID {
@@ -56,8 +58,29 @@
 	return AnnouncedTaken
 }
 
-// firstSequence is the number of the first announcement of a start.
-const firstSequence = 1
+const (
+	// firstSequence is the number of the first announcement of a start.
+	firstSequence = 1
+	// youngSequence is the highest number of an announcement of an upstream that
+	// started together with its agent: the agent may not have listened yet.
+	youngSequence = 3
+	// youngBirth is how much earlier than its agent such an upstream started, at
+	// the most: the spread of starts after a loss of power.
+	youngBirth = 500 * time.Millisecond
+)
+
+// NewUpstream returns an upstream without announcements, beside an agent whose
+// process started at the time.
+func NewUpstream(agentStarted time.Time) Upstream { return Upstream{agentStarted: agentStarted} }
+
+// isFirst reports whether no earlier process of the agent can have passed flows to
+// the start that announces itself.
+func (u *Upstream) isFirst(a Announcement) bool {
+	if a.Sequence <= firstSequence {
+		return true
+	}
+	return !u.known && a.Sequence <= youngSequence && a.Born >= u.agentStarted.Add(-youngBirth).UnixMilli()
+}
 
 // FirstSeen reports whether the upstream's first announcement came here, so that
 // all its flows have passed here.
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -115,6 +115,7 @@
 		tag:           config.ServiceTag(o.Service),
 		flows:         map[flow.Key]*kept{},
 		denied:        map[flow.Key]time.Time{},
+		upstream:      flow.NewUpstream(o.Started),
 		idle:          o.MaxAge,
 		reporters:     map[flow.End]*reporter{},
 	}
