--- a/cmd/crocus-entry/main_test.go
+++ b/cmd/crocus-entry/main_test.go
@@ -39,10 +39,10 @@
 		settings string
 		want     []string // start of each line
 	}{
-		"no JSON":     {`{`, []string{"unexpected EOF"}},
-		"unknown key": {`{"zones":"a"}`, []string{"zones: unknown key"}},
-		"wrong type":  {`{"zone":5}`, []string{"zone: cannot read number"}},
-		"bad address": {`{"data":"here"}`, []string{"data: "}},
+		"no JSON":           {`{`, []string{"unexpected EOF"}},
+		"unknown key":       {`{"zones":"a"}`, []string{"zones: unknown key"}},
+		"wrong type":        {`{"zone":5}`, []string{"zone: cannot read number"}},
+		"bad address":       {`{"data":"here"}`, []string{"data: "}},
 		"unknown transport": {`{"transport":"tcp"}`, []string{`transport: "tcp" is not known`}},
 		"passthrough": {
 			`{"transport":"passthrough","zone":"a","zones":{"a":"r"},"data":"127.0.0.1:1","control":"127.0.0.1:2",` +
