--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -32,7 +32,6 @@
 	Addr    End
 	Zone    string
 	Slots   int
-	Cold    bool
 	Suspect bool // its watchers get no answer
 }
 
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -11,7 +11,6 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
-	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -29,19 +28,16 @@
 
 // Agent carries packets between entries, callers and the upstream beside it.
 type Agent struct {
+	sender
 	settings config.PassthroughAgent
 	deps     Deps
 	fleet    Fleet
-	keys     *keyring.Ring
-	data     PacketConn
 	outbound PacketConn
-	counters *counters
 
-	mu      sync.Mutex // guards what follows
-	keeper  *Keeper
-	scratch []byte
-	entry   flow.End // some entry, for flows that no entry has shown
-	shown   membership.Record
+	mu     sync.Mutex // guards what follows, and the sender
+	keeper *Keeper
+	entry  flow.End // some entry, for flows that no entry has shown
+	shown  membership.Record
 
 	stop *stopper
 }
@@ -52,8 +48,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	a := &Agent{settings: s, deps: d, keys: keys, stop: newStopper()}
-	a.counters = newCounters(d.Registry)
+	a := &Agent{settings: s, deps: d, stop: newStopper()}
+	a.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
 	started := time.Now()
 	a.keeper = NewKeeper(KeeperOptions{
 		Service: s.Service,
@@ -308,24 +304,5 @@
 // ToCaller implements KeeperOutbox.
 func (a *Agent) ToCaller(k flow.Key, packet []byte) { a.send(a.data, packet, a.callerAddr(k)) }
 
-// Tell implements KeeperOutbox.
-func (a *Agent) Tell(entry flow.End, m *Message) {
-	a.scratch = m.Append(a.scratch[:0], a.keys)
-	a.send(a.data, a.scratch, entry.AddrPort())
-}
-
 // Reset implements KeeperOutbox.
-func (a *Agent) Reset(k flow.Key, seq uint32) {
-	a.scratch = a.deps.Codec.AppendReset(a.scratch[:0], k, seq)
-	a.send(a.data, a.scratch, a.callerAddr(k))
-}
-
-func (a *Agent) callerAddr(k flow.Key) netip.AddrPort {
-	return netip.AddrPortFrom(k.Caller().AddrPort().Addr(), a.settings.CallerPort())
-}
-
-func (a *Agent) send(c PacketConn, b []byte, to netip.AddrPort) {
-	if _, err := c.WriteToUDPAddrPort(b, to); err != nil {
-		a.counters.drop(dropSend)
-	}
-}
+func (a *Agent) Reset(k flow.Key, seq uint32) { a.reset(a.data, k, seq) }
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -14,7 +14,6 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
-	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -34,18 +33,15 @@
 
 // Entry carries packets of callers to agents.
 type Entry struct {
+	sender
 	settings config.PassthroughEntry
 	deps     Deps
 	fleet    Fleet
-	keys     *keyring.Ring
 	callers  PacketConn
-	data     PacketConn
-	counters *counters
 	started  time.Time
 
-	mu      sync.Mutex // guards router and scratch
-	router  *Router
-	scratch []byte
+	mu     sync.Mutex // guards router and the sender
+	router *Router
 
 	ready atomic.Bool
 	stop  *stopper
@@ -57,8 +53,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	e := &Entry{settings: s, deps: d, keys: keys, started: time.Now(), stop: newStopper()}
-	e.counters = newCounters(d.Registry)
+	e := &Entry{settings: s, deps: d, started: time.Now(), stop: newStopper()}
+	e.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
 	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
@@ -262,20 +258,5 @@
 	e.send(e.data, e.scratch, agent.AddrPort())
 }
 
-// Tell implements Outbox.
-func (e *Entry) Tell(entry flow.End, m *Message) {
-	e.scratch = m.Append(e.scratch[:0], e.keys)
-	e.send(e.data, e.scratch, entry.AddrPort())
-}
-
 // Reset implements Outbox.
-func (e *Entry) Reset(k flow.Key, seq uint32) {
-	e.scratch = e.deps.Codec.AppendReset(e.scratch[:0], k, seq)
-	e.send(e.callers, e.scratch, netip.AddrPortFrom(k.Caller().AddrPort().Addr(), e.settings.CallerPort()))
-}
-
-func (e *Entry) send(c PacketConn, b []byte, to netip.AddrPort) {
-	if _, err := c.WriteToUDPAddrPort(b, to); err != nil {
-		e.counters.drop(dropSend)
-	}
-}
+func (e *Entry) Reset(k flow.Key, seq uint32) { e.reset(e.callers, k, seq) }
--- /dev/null
+++ b/internal/passthrough/sender.go
@@ -0,0 +1,41 @@
+package passthrough
+
+import (
+	"net/netip"
+
+	"crocusnotch/internal/flow"
+	"crocusnotch/internal/keyring"
+)
+
+// sender is the sending side that entries and agents share. It is not safe for
+// concurrent use.
+type sender struct {
+	codec      Codec
+	keys       *keyring.Ring
+	counters   *counters
+	callerPort uint16     // UDP port of callers' addresses to which answers go
+	data       PacketConn // to other instances
+	scratch    []byte
+}
+
+// Tell sends a message to an entry.
+func (s *sender) Tell(entry flow.End, m *Message) {
+	s.scratch = m.Append(s.scratch[:0], s.keys)
+	s.send(s.data, s.scratch, entry.AddrPort())
+}
+
+// reset ends the caller's side of a flow by a packet from the socket.
+func (s *sender) reset(from PacketConn, k flow.Key, seq uint32) {
+	s.scratch = s.codec.AppendReset(s.scratch[:0], k, seq)
+	s.send(from, s.scratch, s.callerAddr(k))
+}
+
+func (s *sender) callerAddr(k flow.Key) netip.AddrPort {
+	return netip.AddrPortFrom(k.Caller().AddrPort().Addr(), s.callerPort)
+}
+
+func (s *sender) send(c PacketConn, b []byte, to netip.AddrPort) {
+	if _, err := c.WriteToUDPAddrPort(b, to); err != nil {
+		s.counters.drop(dropSend)
+	}
+}
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -136,7 +136,6 @@
 		Addr:    flow.EndOf(m.Addr),
 		Zone:    zone,
 		Slots:   int(m.Slots),
-		Cold:    m.State == membership.StateCold,
 		Suspect: m.State == membership.StateSuspect,
 	})
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -159,7 +159,6 @@
 
 func newFleet(t *testing.T, bin string) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New()}
-	f.must(nil)
 	f.configure()
 	inner, err := net.Listen("tcp", f.addr(kindStore, 0, portStore).String())
 	f.must(err)
