Keep an upstream without a cold start warm for older ticks

Cause: an announcement without a cold time set the end of the cold start to its own time; a decision with the time of the agent's last tick, which is older, then saw a cold upstream for that tick. Before: TestAnnouncementWithoutColdTimeIsWarmForAnOlderTick fails (cold != warm). After: it passes. Conclusion: cold only while the announcement itself says so.

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -319,3 +319,17 @@
 		})
 	}
 }
+
+// An announcement without a cold start that meets a decision of the agent's last
+// tick, whose time is older, never makes the upstream cold.
+func TestAnnouncementWithoutColdTimeIsWarmForAnOlderTick(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0)
+	u := NewUpstream(now.Add(-time.Minute))
+	u.Announce(now, Announcement{ID: "u", Born: 1, Sequence: 1, Service: "s"})
+	tick := now.Add(-time.Millisecond)
+	is.Equal(u.State(tick, time.Second), UpstreamWarm)
+	u.Announce(now, Announcement{ID: "u", Born: 1, Sequence: 2, Service: "s", ColdLeft: time.Second})
+	is.Equal(u.State(tick, time.Second), UpstreamCold)
+	is.Equal(u.State(now.Add(time.Second), 2*time.Second), UpstreamWarm)
+}
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -117,7 +117,7 @@
 		return UpstreamAbsent
 	case u.last.Leaving:
 		return UpstreamLeaving
-	case now.Before(u.coldUntil):
+	case u.last.ColdLeft > 0 && now.Before(u.coldUntil):
 		return UpstreamCold
 	}
 	return UpstreamWarm
