--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -16,18 +16,22 @@
 
 const (
 	joinPoll         = 250 * time.Millisecond
+	meetPoll         = 20 * time.Millisecond // while a process waits for the first entry that it hears of
 	joinBackoffMin   = 500 * time.Millisecond
 	joinBackoffMax   = 30 * time.Second
 	joinCandidates   = 4
-	joinStagger      = 50 * time.Millisecond  // between two candidates
-	rosterHedge      = 100 * time.Millisecond // without an answer, until the rosters are read
-	agentPatience    = 3                      // joins that fail before an agent reads the configuration from the store
+	joinStagger      = 50 * time.Millisecond // between two candidates
+	rosterHedge      = 50 * time.Millisecond // without an answer, until the rosters are read
+	agentPatience    = 3                     // joins that fail before an agent reads the configuration from the store
 	snapshotTimeout  = 3 * time.Second
 	storeCallTimeout = 5 * time.Second
 )
 
 var errStopped = errors.New("fleet: the node has stopped")
 
+// errUninformed says that a peer has not learned the configuration itself.
+var errUninformed = errors.New("fleet: the peer knows no configuration")
+
 // joinLoop looks for peers at the start, as long as no keys are known, without
 // which nothing can be sent, and whenever no peer was heard for a while: known
 // entries and seeds first, then the rosters in the store.
@@ -49,12 +53,25 @@
 			failed++
 			n.metrics.joins.WithLabelValues("none").Inc()
 		}
-		sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
+		n.sleepUntilMet(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
 		backoff = min(2*backoff, n.opts.Joining.BackoffMax)
 	}
 	return nil
 }
 
+// sleepUntilMet pauses the search for peers, or until a process that knew no
+// entry has heard of one: it can be asked at once.
+func (n *Node) sleepUntilMet(ctx context.Context, d time.Duration) {
+	alone := len(n.knownEntries()) == 0
+	end := time.Now().Add(d)
+	for left := d; left > 0 && ctx.Err() == nil; left = time.Until(end) {
+		if alone && len(n.knownEntries()) > 0 {
+			return
+		}
+		sleep(ctx, min(left, meetPoll))
+	}
+}
+
 // meetSeeds lets an entry that met others, but no seed, ask the seeds: after a
 // loss of power the first entries find each other by the rosters, and those that
 // start later are found by the seeds.
@@ -96,7 +113,8 @@
 func (n *Node) askPeers(ctx context.Context, r *rand.Rand) bool {
 	first := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 	found := make(chan bool, 1)
-	go func() { found <- n.snapshotFromAny(ctx, first, slices.Concat(n.knownEntries(), n.opts.Seeds)) }()
+	known := slices.Concat(n.opts.Seeds, n.rostered)
+	go func() { found <- n.snapshotFromAny(ctx, first, n.knownEntries(), known) }()
 	if n.opts.Store == nil || time.Since(n.rostersRead) < n.opts.Joining.RosterPause {
 		return <-found
 	}
@@ -134,16 +152,27 @@
 }
 
 // snapshotFromAny learns from the first of a few candidates that answers. They
-// are asked one after the other without waiting for those that do not answer.
-func (n *Node) snapshotFromAny(ctx context.Context, r *rand.Rand, candidates []netip.AddrPort) bool {
-	shuffled := slices.DeleteFunc(slices.Clone(candidates), func(a netip.AddrPort) bool { return a == n.opts.Self.Control })
-	r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+// are asked one after the other without waiting for those that do not answer;
+// the first lists come first.
+func (n *Node) snapshotFromAny(ctx context.Context, r *rand.Rand, lists ...[]netip.AddrPort) bool {
+	var shuffled []netip.AddrPort
+	for _, list := range lists {
+		list = slices.DeleteFunc(slices.Clone(list), func(a netip.AddrPort) bool {
+			return a == n.opts.Self.Control || slices.Contains(shuffled, a)
+		})
+		r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		shuffled = append(shuffled, list...)
+	}
 	shuffled = shuffled[:min(len(shuffled), joinCandidates)]
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, len(shuffled))
+	results := make(chan error, 2*joinCandidates)
 	asked, failed := 0, 0
 	for {
+		if asked == len(shuffled) && asked < 2*joinCandidates {
+			// An entry that was heard of meanwhile, when those asked are dark.
+			shuffled = append(shuffled, n.unknownTo(shuffled)...)
+		}
 		if asked < len(shuffled) && ctx.Err() == nil {
 			to := shuffled[asked]
 			asked++
@@ -165,6 +194,16 @@
 	}
 }
 
+// unknownTo returns up to one known entry that is not in the list.
+func (n *Node) unknownTo(list []netip.AddrPort) []netip.AddrPort {
+	for _, a := range n.knownEntries() {
+		if a != n.opts.Self.Control && !slices.Contains(list, a) {
+			return []netip.AddrPort{a}
+		}
+	}
+	return nil
+}
+
 // takeSnapshot reads all pages from one entry.
 func (n *Node) takeSnapshot(ctx context.Context, from netip.AddrPort) error {
 	self := n.Self()
@@ -195,7 +234,10 @@
 		return 0, err
 	}
 	n.learn(page.Records, page.Objects)
-	if result.Next == 0 && result.AgeMillis >= 0 {
+	switch {
+	case result.AgeMillis < 0 && n.opts.Reading.Stale > 0 && len(params.Objects) == 0:
+		return 0, errUninformed
+	case result.Next == 0 && result.AgeMillis >= 0:
 		n.verified(time.Now().Add(-time.Duration(result.AgeMillis)*time.Millisecond), result.Revision)
 	}
 	return result.Next, nil
@@ -216,14 +258,19 @@
 	}
 }
 
-// readRosters returns the control addresses in all rosters.
+// readRosters returns the control addresses in all rosters and keeps them: those
+// that do not run yet are asked again like seeds.
 func (n *Node) readRosters(ctx context.Context) []netip.AddrPort {
 	list, err := n.listRosters(ctx)
 	if err != nil {
 		return nil
 	}
-	_, listed := findRoster(list.Objects, n.opts.Zone)
-	return listed
+	_, n.rostered = findRoster(list.Objects, n.opts.Zone)
+	if n.opts.Keys != nil {
+		seeds := slices.Concat(n.opts.Seeds, n.rostered)
+		n.command(func(time.Time) { n.core.SetSeeds(seeds) })
+	}
+	return n.rostered
 }
 
 // readConfig learns the configuration from the store itself, for the first
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -19,8 +19,8 @@
 
 // loop owns the core: it passes events to it and does what the core asks for.
 func (n *Node) loop(ctx context.Context) error {
-	ticker := time.NewTicker(n.opts.Timing.Gossip)
-	defer ticker.Stop()
+	tick := time.NewTimer(n.core.Period(time.Now()))
+	defer tick.Stop()
 	defer n.end()
 	for {
 		select {
@@ -32,8 +32,9 @@
 			n.core.Receive(time.Now(), m)
 		case f := <-n.commands:
 			f(time.Now())
-		case <-ticker.C:
+		case <-tick.C:
 			now := time.Now()
+			tick.Reset(n.core.Period(now))
 			n.core.Tick(now)
 			n.lonely.Store(n.core.Lonely(now))
 		}
@@ -84,7 +85,7 @@
 // publish makes changes visible to the rest of the process, at a bounded rate:
 // copying all records and objects costs more than merging one.
 func (n *Node) publish(now time.Time) {
-	if !n.membersDirty && !n.objectsDirty || now.Sub(n.published) < publishPeriod {
+	if !n.membersDirty && !n.objectsDirty || now.Sub(n.published) < n.publishPeriod(now) {
 		return
 	}
 	if n.objectsDirty {
@@ -103,6 +104,11 @@
 	n.notify()
 }
 
+// publishPeriod is the shortest time between two publications.
+func (n *Node) publishPeriod(now time.Time) time.Duration {
+	return min(publishPeriod, n.core.Period(now)/2)
+}
+
 // withKeys adds the fixed keys to a configuration.
 func (n *Node) withKeys(fleet *config.Fleet) *config.Fleet {
 	if n.opts.Keys != nil {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -91,7 +91,9 @@
 	metrics  *metrics
 	events   *explain.Ring
 
-	rostersRead time.Time // owned by the search for peers
+	// Owned by the search for peers.
+	rostersRead time.Time
+	rostered    []netip.AddrPort // in the rosters when they were read
 
 	// Owned by the loop.
 	core         *membership.Core
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -77,10 +77,13 @@
 	}
 }
 
-// pingSeeds asks the seeds for their records, with which an agent that knows no
-// entry can send its heartbeats.
+// pingSeeds asks the seeds for their records, with which a process that knows no
+// entry can meet them.
 func (c *Core) pingSeeds() {
 	for _, s := range c.seeds {
+		if s == c.self.Control {
+			continue
+		}
 		c.sendPing(c.nextProbe(), s, nil)
 	}
 }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -16,6 +16,9 @@
 	ProbeWait    time.Duration // for an acknowledgement, before each next step
 	Suspicion    time.Duration // from suspect to dead
 	Gossip       time.Duration // between two rounds of spreading
+	Start        time.Duration // from the start, while processes meet each other
+	StartGossip  time.Duration // between two rounds of spreading in that time
+	StartDigest  time.Duration // between two repairs of the member table in that time
 	Digest       time.Duration // between two repairs of the member table
 	Revisit      time.Duration // between two probes of dead members
 	Retention    time.Duration // of final records
@@ -32,6 +35,9 @@
 		ProbeWait:    500 * time.Millisecond,
 		Suspicion:    3 * time.Second,
 		Gossip:       200 * time.Millisecond,
+		Start:        2 * time.Second,
+		StartGossip:  40 * time.Millisecond,
+		StartDigest:  200 * time.Millisecond,
 		Digest:       5 * time.Second,
 		Revisit:      5 * time.Second,
 		Retention:    24 * time.Hour,
@@ -45,7 +51,7 @@
 	Self   Record
 	Rand   *rand.Rand
 	Timing Timing
-	Seeds  []netip.AddrPort // control addresses that an agent without entries pings
+	Seeds  []netip.AddrPort // control addresses that a process without entries pings
 }
 
 // Send is a message to be sent to a control address.
@@ -172,6 +178,9 @@
 	c.left = true
 }
 
+// SetSeeds sets the control addresses that a process without entries pings.
+func (c *Core) SetSeeds(seeds []netip.AddrPort) { c.seeds = seeds }
+
 // Follow sets the name of the agent's service, so that it receives that
 // service's configuration before its record carries the service's ID.
 func (c *Core) Follow(service string) {
@@ -202,7 +211,7 @@
 	}
 }
 
-// Tick lets time pass. It is to be called at least every Timing.Gossip.
+// Tick lets time pass. It is to be called at least every Period.
 func (c *Core) Tick(now time.Time) {
 	c.startOnce(now)
 	if gap := now.Sub(c.lastTick); gap > c.timing.Pause {
@@ -227,6 +236,9 @@
 	c.probes.next = now.Add(c.jitter(c.timing.Probe))
 	c.probes.revisit = now.Add(c.jitter(c.timing.Revisit))
 	c.repair.next = now.Add(c.jitter(c.timing.Digest))
+	if c.timing.StartDigest > 0 {
+		c.repair.next = now.Add(c.timing.StartDigest)
+	}
 	c.spread.next = now
 	c.agent.next = now
 }
@@ -255,6 +267,20 @@
 	return now.Sub(c.heard) > c.timing.Lonely || len(c.table.entries) == 0
 }
 
+// starting reports whether the process has started a short time ago: after a loss
+// of power all processes look for each other, and callers wait for them.
+func (c *Core) starting(now time.Time) bool {
+	return c.started.IsZero() || now.Sub(c.started) < c.timing.Start
+}
+
+// Period returns the time until the next Tick.
+func (c *Core) Period(now time.Time) time.Duration {
+	if c.starting(now) && c.timing.StartGossip > 0 {
+		return c.timing.StartGossip
+	}
+	return c.timing.Gossip
+}
+
 func (c *Core) jitter(d time.Duration) time.Duration {
 	return time.Duration(c.rand.Int64N(int64(d)))
 }
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -27,6 +27,9 @@
 )
 
 func (c *Core) tickEntry(now time.Time) {
+	if len(c.table.entries) == 0 {
+		c.pingSeeds()
+	}
 	c.flushRumors(now)
 	c.checkHeartbeats(now)
 	c.tickProbes(now)
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -35,6 +35,9 @@
 		return
 	}
 	c.repair.next = now.Add(c.timing.Digest)
+	if c.starting(now) && c.timing.StartDigest > 0 {
+		c.repair.next = now.Add(c.timing.StartDigest)
+	}
 	c.repair.listed = 0
 	for _, peer := range c.randomEntries(1, netip.AddrPort{}) {
 		c.sendDigest(peer.Control, TableMembers)
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -35,12 +35,21 @@
 	objects map[config.ID]*rumor
 }
 
+// rounds returns the rounds of a new rumor. Rounds that follow each other faster
+// are more, so that they reach processes that start a moment later.
+func (c *Core) rounds() int {
+	if p := c.Period(c.lastTick); p < c.timing.Gossip {
+		return spreadRounds * int(c.timing.Gossip/p)
+	}
+	return spreadRounds
+}
+
 func (c *Core) spreadRecord(r *Record) {
 	if known := c.spread.records[r.Addr]; known != nil {
-		known.rounds = spreadRounds
+		known.rounds = c.rounds()
 		return
 	}
-	n := &rumor{addr: r.Addr, rounds: spreadRounds}
+	n := &rumor{addr: r.Addr, rounds: c.rounds()}
 	c.spread.records[r.Addr] = n
 	c.spread.queue = append(c.spread.queue, n)
 }
@@ -58,10 +67,10 @@
 	}
 	id := o.latest.ID()
 	if known := c.spread.objects[id]; known != nil {
-		known.rounds = spreadRounds - 1
+		known.rounds = c.rounds() - 1
 		return
 	}
-	n := &rumor{object: id, rounds: spreadRounds - 1}
+	n := &rumor{object: id, rounds: c.rounds() - 1}
 	c.spread.objects[id] = n
 	c.spread.queue = append(c.spread.queue, n)
 }
@@ -77,7 +86,7 @@
 	if len(c.spread.queue) == 0 || now.Before(c.spread.next) && c.self.State != StateLeft {
 		return
 	}
-	c.spread.next = now.Add(c.timing.Gossip)
+	c.spread.next = now.Add(c.Period(now))
 	peers := c.randomEntries(spreadFanout, netip.AddrPort{})
 	if len(peers) == 0 {
 		return
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -25,7 +25,7 @@
 	staleAfter = 1800 * time.Millisecond
 	// readFirst is the shortest time from the start to the first read of the
 	// store; until then peers are asked.
-	readFirst = 60 * time.Millisecond
+	readFirst = 40 * time.Millisecond
 	// joinTimeout bounds one snapshot: a seed may be a dark instance.
 	joinTimeout = 400 * time.Millisecond
 	// joinBackoffMin and joinBackoffMax bound the pause between two searches for
