--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -89,7 +89,7 @@
 		is.Equal(a.Addr, agents[1].Addr)
 	}
 	// An old report says nothing any more; the flows placed since then count.
-	a, _ := p.Choose(start.Add(reportLife), testKey(9), agents, nil)
+	a, _ := p.Choose(start.Add(ReportLife), testKey(9), agents, nil)
 	is.Equal(a.Addr, agents[0].Addr)
 }
 
--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -20,8 +20,8 @@
 	// sampleSize bounds the agents that are compared for one flow in a large
 	// service. Between one and two times as many are looked at.
 	sampleSize = 32
-	// reportLife is the age at which a report of load says nothing any more.
-	reportLife = 3 * time.Second
+	// ReportLife is the age at which a report of load says nothing any more.
+	ReportLife = 3 * time.Second
 	// avoidFor is how long an agent that did not answer an opening is passed
 	// over while others can take it.
 	avoidFor = time.Second
@@ -111,7 +111,7 @@
 func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
 	l := p.load(a.Addr)
 	busy := baseLoad + openingLoad*float64(l.openings)
-	if now.Sub(l.at) < reportLife {
+	if now.Sub(l.at) < ReportLife {
 		busy += l.report.Busy
 	}
 	// Entries with the same reports choose differently for different flows.
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -79,6 +79,7 @@
 // Causes of changes.
 const (
 	CauseReported  Cause = "reported by itself or a peer"
+	CauseSnapshot  Cause = "in the snapshot of a peer"
 	CauseNoAnswer  Cause = "no answer to direct and indirect probes"
 	CauseSuspicion Cause = "suspicion was not refuted in time"
 	CauseForgotten Cause = "retention of the final record ended"
@@ -199,7 +200,7 @@
 		case c.isDoubtful(&records[i]):
 			c.doubt(&records[i])
 		default:
-			c.mergeRecord(now, &records[i], CauseReported)
+			c.mergeRecord(now, &records[i], CauseSnapshot)
 		}
 	}
 	for i := range objects {
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -38,10 +38,11 @@
 	return nil
 }
 
-// insert keeps a record and spreads it.
+// insert keeps a record and spreads it. Those of a snapshot were spread by the
+// entries that heard them first; what a peer lacks, a repair brings.
 func (c *Core) insert(now time.Time, r *Record, before State, cause Cause) {
 	c.keep(now, r, before, cause)
-	if c.self.Role == RoleEntry {
+	if c.self.Role == RoleEntry && cause != CauseSnapshot {
 		c.spreadRecord(r)
 	}
 }
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -11,6 +11,7 @@
 const (
 	spreadFanout    = 3   // peers for each round
 	spreadRounds    = 3   // rounds for each rumor
+	startRounds     = 5   // the same while this process is starting
 	pushFanout      = 4   // peers for an object at its first arrival
 	roundDatagrams  = 2   // datagrams to each peer for each round
 	longQueue       = 100 // rumors above which each is spread in one round; repair does the rest
@@ -35,11 +36,11 @@
 	objects map[config.ID]*rumor
 }
 
-// rounds returns the rounds of a new rumor. Rounds that follow each other faster
-// are more, so that they reach processes that start a moment later.
+// rounds returns the rounds of a new rumor. While processes meet each other
+// there are more, so that they reach those that start a moment later.
 func (c *Core) rounds() int {
-	if p := c.Period(c.lastTick); p < c.timing.Gossip {
-		return spreadRounds * int(c.timing.Gossip/p)
+	if c.starting(c.lastTick) {
+		return startRounds
 	}
 	return spreadRounds
 }
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -12,8 +12,15 @@
 	// packet of a flow: two spans in which three packets at a wrong upstream
 	// count as a broken flow.
 	probeMemory = 4 * time.Second
-	// reportPeriod is the time between two reports of load to an entry.
-	reportPeriod = 300 * time.Millisecond
+	// reportPeriod is the shortest time between two reports of load to an entry,
+	// and reportRefresh the longest: below flow.ReportLife by one lost report.
+	reportPeriod  = 300 * time.Millisecond
+	reportRefresh = 1400 * time.Millisecond
+	// reportChange and reportShare are the change of load, in busy requests and as
+	// a share of what was told, below which a report would change no choice: the
+	// choice itself is spread over more.
+	reportChange = 0.25
+	reportShare  = 0.1
 	// reporterLife is how long an entry hears of the load after its last packet.
 	reporterLife = 3 * time.Second
 	// maxReporters bounds the entries that hear of the load.
@@ -106,7 +113,10 @@
 }
 
 // reporter is an entry that hears of the load.
-type reporter struct{ seen, told time.Time }
+type reporter struct {
+	seen, told time.Time
+	busy       float64 // as told
+}
 
 // NewKeeper returns the state machine of an agent.
 func NewKeeper(o KeeperOptions) *Keeper {
--- a/internal/passthrough/keeper_test.go
+++ b/internal/passthrough/keeper_test.go
@@ -148,3 +148,47 @@
 	is.Equal(c.sent, 0)
 	is.True(!c.reset)
 }
+
+// An entry hears of a load at once when it changes, and rarely when it does not:
+// at the design size the reports were most of an agent's control bytes.
+func TestLoadIsReportedWhenItChanges(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 1, 3)
+	c := w.open(1, routeA, func() *worldEntry { return w.entries[0] })
+	a := w.holder(c)
+	out := &reports{KeeperOutbox: a.keeper.Out}
+	a.keeper.Out = out
+	alive := func(flags byte, data int) { // a packet of the caller
+		packet := makePacket(c.key.Caller(), c.key.Route(), flags, 8, c.seq+1, data)
+		s, _ := codec.Decode(packet)
+		a.keeper.Packet(w.now, w.entries[0].addr, &s, packet)
+		w.queue = nil // the upstream does not answer
+	}
+	pass := func(d time.Duration) {
+		for end := w.now.Add(d); w.now.Before(end); {
+			alive(16, 0)
+			w.advance(tickPeriod)
+		}
+	}
+	pass(10 * time.Second)
+	idle := len(out.loads)
+	is.True(idle <= 8)                                  // at most one in 1.4 s
+	is.True(idle > int(10*time.Second/flow.ReportLife)) // one may be lost
+	alive(16, 120)
+	pass(time.Second)
+	is.True(len(out.loads)-idle >= 1)
+	is.True(out.loads[len(out.loads)-1] >= reportChange)
+}
+
+// reports keeps the loads that an agent reports.
+type reports struct {
+	KeeperOutbox
+	loads []float64
+}
+
+func (r *reports) Tell(to flow.End, m *Message) {
+	if m.Kind == KindLoad {
+		r.loads = append(r.loads, m.Load.Busy)
+	}
+	r.KeeperOutbox.Tell(to, m)
+}
--- a/internal/passthrough/upkeep.go
+++ b/internal/passthrough/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,14 @@
 	r.seen = now
 }
 
+// due reports whether the entry is told of the load.
+func (r *reporter) due(now time.Time, busy float64) bool {
+	if age := now.Sub(r.told); age < reportPeriod || age >= reportRefresh {
+		return age >= reportRefresh
+	}
+	return math.Abs(busy-r.busy) >= max(reportChange, reportShare*r.busy)
+}
+
 // Tick averages and reports the load and forgets old flows.
 func (a *Keeper) Tick(now time.Time) {
 	a.average += (float64(a.busy) - a.average) * loadShare
@@ -32,8 +41,8 @@
 			delete(a.reporters, entry)
 			continue
 		}
-		if now.Sub(r.told) >= reportPeriod {
-			r.told = now
+		if r.due(now, a.average) {
+			r.told, r.busy = now, a.average
 			a.Out.Tell(entry, &Message{Kind: KindLoad, Load: a.load()})
 		}
 	}
