Prefer upstreams whose requests succeed over idle ones that fail

Change: agents judge their upstream by outcomes alone (resets, requests given up by their callers, openings without an answer), fading over 3 s, and report the share; it multiplies the score of placement. A line, a gauge and crocusctl status tell it. Contents of answers stay unread, so fast error answers are not seen.

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -333,3 +333,48 @@
 	is.Equal(u.State(tick, time.Second), UpstreamCold)
 	is.Equal(u.State(now.Add(time.Second), 2*time.Second), UpstreamWarm)
 }
+
+// An upstream that fails its requests at once is idle, which made it the first
+// choice (srv_grey, srv_lying_health). Where all fail alike nothing changes.
+func TestPlacementPrefersAgentsWhoseRequestsSucceed(t *testing.T) {
+	is := is.New(t)
+	agents := []Agent{{Addr: testEnd(1), Zone: "z1", Slots: 5}, {Addr: testEnd(2), Zone: "z1", Slots: 5}}
+	choose := func(first, second Load) End {
+		p := NewPlacement("z1")
+		p.Report(start, agents[0].Addr, first)
+		p.Report(start, agents[1].Addr, second)
+		a, ok := p.Choose(start, testKey(1), agents, nil)
+		is.True(ok)
+		return a.Addr
+	}
+	is.Equal(choose(Load{Busy: 0, Failing: 0.4}, Load{Busy: 2}), agents[1].Addr)
+	is.Equal(choose(Load{Busy: 0, Failing: 0.4}, Load{Busy: 2, Failing: 0.4}), agents[0].Addr)
+	is.Equal(choose(Load{Busy: 0, Failing: 0.1}, Load{Busy: 5}), agents[0].Addr) // not at any price
+}
+
+func TestOutcomesFade(t *testing.T) {
+	is := is.New(t)
+	var o Outcomes
+	is.Equal(o.Failing(), 0.0)
+	o.Failed()
+	is.True(o.Failing() < 0.4) // one failure says little
+	for range 9 {
+		o.Failed()
+	}
+	is.True(o.Failing() > 0.8)
+	for range 5 * 40 { // 5 s
+		o.Tick()
+	}
+	is.True(o.Failing() < 0.55)
+	for range 20 * 40 {
+		o.Tick()
+	}
+	is.True(o.Failing() < 0.01) // it gets its share of new flows again
+	o = Outcomes{}
+	for range 100 {
+		o.Answered()
+		o.Tick()
+	}
+	o.Failed()
+	is.True(o.Failing() < 0.05)
+}
--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -37,8 +37,8 @@
 
 // Load is what an agent reports of its upstream.
 type Load struct {
-	Busy  float64 // requests without an answer, averaged
-	Flows int
+	Busy    float64 // requests without an answer, averaged
+	Failing float64 // share of its latest requests that failed, 0 to 1
 }
 
 // agentLoad is what an entry knows of an agent's load.
@@ -111,12 +111,14 @@
 func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
 	l := p.load(a.Addr)
 	busy := baseLoad + openingLoad*float64(l.openings)
+	failing := 0.0
 	if now.Sub(l.at) < ReportLife {
 		busy += l.report.Busy
+		failing = l.report.Failing
 	}
 	// Entries with the same reports choose differently for different flows.
 	spread := 1 + float64(rank(hash, a.Addr)%256)/256*choiceSpread
-	score := busy / float64(max(a.Slots, 1)) * spread
+	score := busy / float64(max(a.Slots, 1)) * spread * (1 + failingWeight*failing)
 	if a.Zone != p.zone {
 		score *= otherZone
 	}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -64,6 +65,7 @@
 	})
 	a.counters.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.flows()) })
 	a.counters.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.busy()) })
+	a.counters.gauge("failing_ratio", "Share of the upstream's latest requests that failed.", a.failing)
 	a.counters.gauge("announcement_age_seconds", "Time since the upstream's last announcement.", a.announcementAge)
 	if a.data, err = d.listen(s.Data); err != nil {
 		return nil, err
@@ -100,7 +102,11 @@
 		Busy: a.keeper.Busy(), Flows: a.keeper.Flows(),
 	}
 	state := string(a.keeper.State(time.Now()))
-	s.Beliefs = append(s.Beliefs, wire.Belief{About: "upstream", Value: state, AgeMillis: ageMillis(a.keeper.Heard())})
+	s.Beliefs = append(
+		s.Beliefs,
+		wire.Belief{About: "upstream", Value: state, AgeMillis: ageMillis(a.keeper.Heard())},
+		wire.Belief{About: "requests that fail", Value: strconv.Itoa(int(100*a.keeper.Failing())) + " %"},
+	)
 }
 
 // Stop starts a graceful stop.
@@ -159,6 +165,12 @@
 	return a.keeper.Flows()
 }
 
+func (a *Agent) failing() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Failing()
+}
+
 func (a *Agent) announcementAge() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -53,14 +53,16 @@
 
 // Decisions of agents.
 const (
-	DecisionAdmit  = "admit"
-	DecisionReject = "reject"
-	DecisionProbe  = "probe"   // the upstream is asked whether it holds a flow
-	DecisionLearn  = "learn"   // the upstream holds a flow that was not known
-	DecisionGone   = "gone"    // the upstream does not hold the flow
-	DecisionEnded  = "ended"   // the upstream that held the flow has ended: reset
-	DecisionFull   = "bounced" // the upstream returned an opening packet
-	DecisionSilent = "silent"  // the upstream gives no sign of life: its flows are reset
+	DecisionAdmit   = "admit"
+	DecisionReject  = "reject"
+	DecisionProbe   = "probe"   // the upstream is asked whether it holds a flow
+	DecisionLearn   = "learn"   // the upstream holds a flow that was not known
+	DecisionGone    = "gone"    // the upstream does not hold the flow
+	DecisionEnded   = "ended"   // the upstream that held the flow has ended: reset
+	DecisionFull    = "bounced" // the upstream returned an opening packet
+	DecisionSilent  = "silent"  // the upstream gives no sign of life: its flows are reset
+	DecisionFailing = "failing" // requests fail at the upstream, so that others are preferred; Tries has the share in percent
+	DecisionWorks   = "works"   // they no longer do
 )
 
 // Observer takes decisions. It must not block.
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -21,6 +21,15 @@
 	// choice itself is spread over more.
 	reportChange = 0.25
 	reportShare  = 0.1
+	// reportFailing is the same for the share of failed requests.
+	reportFailing = 0.05
+	// failingAbove and failingBelow are the shares of failed requests at which an
+	// upstream is said to fail, and to work again.
+	failingAbove = 0.25
+	failingBelow = 0.1
+	// openingLife is how long after its last copy a caller waits for the answer to
+	// an opening packet: it sends the last one after 0.6 s and gives up after 1.4 s.
+	openingLife = 800 * time.Millisecond
 	// reporterLife is how long an entry hears of the load after its last packet.
 	reporterLife = 3 * time.Second
 	// maxReporters bounds the entries that hear of the load.
@@ -101,6 +110,8 @@
 	leaving   bool
 	busy      int
 	average   float64
+	outcomes  flow.Outcomes
+	failing   bool // said so last
 	reporters map[flow.End]*reporter
 	swept     time.Time
 	// quiet counts the ticks since the upstream's last sign of life. Ticks stand
@@ -115,7 +126,7 @@
 // reporter is an entry that hears of the load.
 type reporter struct {
 	seen, told time.Time
-	busy       float64 // as told
+	load       flow.Load // as told
 }
 
 // NewKeeper returns the state machine of an agent.
@@ -145,6 +156,10 @@
 // Busy returns the number of requests without an answer.
 func (a *Keeper) Busy() int { return a.busy }
 
+// Failing returns the share of the upstream's latest requests that failed, from
+// 0 to 1.
+func (a *Keeper) Failing() float64 { return a.outcomes.Failing() }
+
 // Flows returns the number of flows that are known.
 func (a *Keeper) Flows() int { return len(a.flows) }
 
@@ -230,7 +245,7 @@
 	f.used = f.used || f.state == keptOpen
 	switch {
 	case s.Fin || s.Reset:
-		a.answered(f) // the caller waits for nothing any more
+		a.failed(f) // if a request has no answer, the caller has given up
 	case s.Data > 0 && !f.busy && f.state != keptProbing:
 		f.busy, f.asked = true, now
 		a.busy++
@@ -278,10 +293,18 @@
 }
 
 func (a *Keeper) forget(k flow.Key, f *kept) {
-	a.answered(f)
+	a.failed(f)
 	delete(a.flows, k)
 }
 
+// failed ends a request, if there is one, that gets no answer.
+func (a *Keeper) failed(f *kept) {
+	if f.busy {
+		a.outcomes.Failed()
+	}
+	a.answered(f)
+}
+
 func (a *Keeper) answered(f *kept) {
 	if f.busy {
 		f.busy = false
@@ -377,10 +400,11 @@
 	f.used = f.used || !s.Opened
 	if s.Data > 0 && f.busy {
 		a.Answered(now.Sub(f.asked))
+		a.outcomes.Answered()
 		a.answered(f)
 	}
 	if s.Reset {
-		a.answered(f)
+		a.failed(f)
 	}
 	a.Out.ToCaller(k, packet)
 }
--- a/internal/passthrough/keeper_test.go
+++ b/internal/passthrough/keeper_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -192,3 +193,62 @@
 	}
 	r.KeeperOutbox.Tell(to, m)
 }
+
+// The load is that of an upstream that resets 45 % of its requests while it says
+// that it is well (srv_grey, how reset): callers that try again on a new flow
+// came back to it, because it was the least busy.
+func TestFailingUpstreamGetsFewFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 2, 9) // six upstreams of the service
+	grey := w.agents[0]
+	r := rand.New(rand.NewPCG(7, 7))
+	grey.upstream.fails = func() bool { return r.Float64() < 0.45 }
+	const perSecond = 40
+	flows, onGrey := 0, 0
+	port := 0
+	for second := range 8 {
+		for range perSecond {
+			c := w.open(port, routeA, func() *worldEntry { return w.entries[port%2] })
+			port++
+			is.True(c.open)
+			if second >= 2 {
+				flows++
+				if c.owner == grey.upstream {
+					onGrey++
+				}
+			}
+			w.request(c, w.entries[0])
+			w.advance(tickPeriod)
+		}
+	}
+	fair := flows / 6
+	t.Logf("%d of %d flows, %d would be fair", onGrey, flows, fair)
+	is.True(onGrey <= fair/3)
+	is.True(onGrey > 0) // probation: it is tried now and then
+}
+
+// The log tells when requests begin to fail at an upstream, and when that ends.
+func TestFailingUpstreamIsReported(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t.Fatalf, 1, 1)
+	a := w.agents[0]
+	var said []string
+	a.keeper.Observe = func(d Decision) {
+		if d.What == DecisionFailing || d.What == DecisionWorks {
+			said = append(said, d.What)
+		}
+	}
+	entry := func() *worldEntry { return w.entries[0] }
+	a.upstream.fails = func() bool { return true }
+	for i := range 5 {
+		w.request(w.open(i, routeA, entry), w.entries[0])
+		w.advance(tickPeriod)
+	}
+	is.Equal(said, []string{DecisionFailing})
+	a.upstream.fails = nil
+	for i := range 200 {
+		w.request(w.open(100+i, routeA, entry), w.entries[0])
+		w.advance(tickPeriod)
+	}
+	is.Equal(said, []string{DecisionFailing, DecisionWorks})
+}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -41,11 +41,12 @@
 	offKey         = offBody
 	offOwner       = offKey + keySize
 	offBusy        = offOwner + endSize
-	offFlows       = offBusy + 2
-	headSize       = offFlows + 2
+	offFailing     = offBusy + 2
+	headSize       = offFailing + 2
 	pairSize       = keySize + endSize
 	maxPairs       = 60 // fits into a datagram of 1,200 bytes
 	busyResolution = 100
+	failResolution = 10_000
 )
 
 // Message is one datagram to an entry. The fields in use depend on Kind.
@@ -79,7 +80,7 @@
 	b = append(b, m.Key[:]...)
 	b = append(b, m.Owner[:]...)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.Busy*busyResolution, 1<<16-1)))
-	b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.Flows, 1<<16-1)))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.Failing, 1)*failResolution))
 	for _, p := range m.Pairs {
 		b = append(b, p.Key[:]...)
 		b = append(b, p.Owner[:]...)
@@ -104,7 +105,7 @@
 	m.Key = flow.Key(b[offKey:offOwner])
 	m.Owner = flow.End(b[offOwner:offBusy])
 	m.Load.Busy = float64(binary.BigEndian.Uint16(b[offBusy:])) / busyResolution
-	m.Load.Flows = int(binary.BigEndian.Uint16(b[offFlows:]))
+	m.Load.Failing = min(1, float64(binary.BigEndian.Uint16(b[offFailing:]))/failResolution)
 	rest := b[headSize:]
 	if m.Kind != KindRegister {
 		m.Packet = rest
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -26,7 +26,7 @@
 func sampleMessages() []Message {
 	owner := flow.EndOf(addrOf(2, 1))
 	return []Message{
-		{Kind: KindOwned, Key: sampleKey, Owner: owner, Load: flow.Load{Busy: 2.25, Flows: 9}, Packet: []byte{}},
+		{Kind: KindOwned, Key: sampleKey, Owner: owner, Load: flow.Load{Busy: 2.25, Failing: 0.125}, Packet: []byte{}},
 		{Kind: KindRefused, Key: sampleKey, Reason: flow.RefusalCold, Packet: []byte{1, 2, 3}},
 		{Kind: KindRegister, Pairs: []Pair{{Key: sampleKey, Owner: owner}, {Key: sampleKey}}},
 	}
--- a/internal/passthrough/upkeep.go
+++ b/internal/passthrough/upkeep.go
@@ -9,7 +9,7 @@
 	"crocusnotch/internal/flow"
 )
 
-func (a *Keeper) load() flow.Load { return flow.Load{Busy: a.average, Flows: len(a.flows)} }
+func (a *Keeper) load() flow.Load { return flow.Load{Busy: a.average, Failing: a.outcomes.Failing()} }
 
 func (a *Keeper) noteReporter(now time.Time, entry flow.End) {
 	r := a.reporters[entry]
@@ -24,16 +24,19 @@
 }
 
 // due reports whether the entry is told of the load.
-func (r *reporter) due(now time.Time, busy float64) bool {
+func (r *reporter) due(now time.Time, l flow.Load) bool {
 	if age := now.Sub(r.told); age < reportPeriod || age >= reportRefresh {
 		return age >= reportRefresh
 	}
-	return math.Abs(busy-r.busy) >= max(reportChange, reportShare*r.busy)
+	return math.Abs(l.Busy-r.load.Busy) >= max(reportChange, reportShare*r.load.Busy) ||
+		math.Abs(l.Failing-r.load.Failing) >= reportFailing
 }
 
 // Tick averages and reports the load and forgets old flows.
 func (a *Keeper) Tick(now time.Time) {
 	a.average += (float64(a.busy) - a.average) * loadShare
+	a.outcomes.Tick()
+	a.judge()
 	a.listen(now)
 	for _, entry := range slices.SortedFunc(maps.Keys(a.reporters), flow.End.Compare) {
 		r := a.reporters[entry]
@@ -41,9 +44,9 @@
 			delete(a.reporters, entry)
 			continue
 		}
-		if r.due(now, a.average) {
-			r.told, r.busy = now, a.average
-			a.Out.Tell(entry, &Message{Kind: KindLoad, Load: a.load()})
+		if l := a.load(); r.due(now, l) {
+			r.told, r.load = now, l
+			a.Out.Tell(entry, &Message{Kind: KindLoad, Load: l})
 		}
 	}
 	if now.Sub(a.swept) >= sweepPeriod {
@@ -52,6 +55,19 @@
 	}
 }
 
+// judge says when requests begin or cease to fail at the upstream.
+func (a *Keeper) judge() {
+	share := a.outcomes.Failing()
+	switch {
+	case !a.failing && share > failingAbove:
+		a.failing = true
+		a.Observe(Decision{What: DecisionFailing, Tries: int(100 * share)})
+	case a.failing && share < failingBelow:
+		a.failing = false
+		a.Observe(Decision{What: DecisionWorks, Tries: int(100 * share)})
+	}
+}
+
 // listen takes an upstream that has given no sign of life for long for ended.
 func (a *Keeper) listen(now time.Time) {
 	a.quiet++
@@ -75,11 +91,15 @@
 		if f.state == keptProbing {
 			limit = probeMemory
 		}
+		if f.state == keptOpening && now.Sub(f.seen) > openingLife {
+			a.outcomes.Failed()
+			a.forget(k, f)
+		}
 		if now.Sub(f.seen) > limit {
 			a.forget(k, f)
 		}
 		if f.busy && now.Sub(f.asked) > busyLife {
-			a.answered(f)
+			a.failed(f)
 		}
 	}
 	for k, at := range a.denied {
--- a/internal/passthrough/world_test.go
+++ b/internal/passthrough/world_test.go
@@ -61,7 +61,8 @@
 	leaving  bool
 	dead     bool
 	full     bool
-	leftAt   time.Time // moment at which the agent knew that it leaves
+	fails    func() bool // draws whether a request is reset
+	leftAt   time.Time   // moment at which the agent knew that it leaves
 }
 
 // worldCaller is one flow of a caller.
@@ -357,6 +358,11 @@
 		a.fromUpstream(packet)
 		return
 	}
+	if s.Data > 0 && u.fails != nil && u.fails() {
+		delete(u.flows, k)
+		a.fromUpstream(makePacket(k.Route(), k.Caller(), 16|32, 0, 0, 0))
+		return
+	}
 	a.fromUpstream(makePacket(k.Route(), k.Caller(), 16, 0, 0, 100))
 }
 
