Give the packet of a search to one zone after the other

Entries with a link of 10 Mbit/s were full for 6 s: 300 flows were searched for two to four times, 746 requests failed. Change: probes go to the own zone first, where most flows were placed, then zone by zone; agents of services that the address has not are left out; a denial of a probe carries no packet, since the searching entry keeps it.

--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -74,6 +74,7 @@
 	// which answered another copy of the opening packet.
 	used   bool
 	origin flow.End // entry that sent the last packet
+	search bool     // that entry is searching and keeps the packet
 	born   int64    // start of the upstream that holds it, 0 when not known
 	seen   time.Time
 	opened time.Time
@@ -367,7 +368,7 @@
 		return
 	}
 	a.Observe(Decision{What: DecisionProbe, Key: k, Agent: from})
-	a.flows[k] = &kept{state: keptProbing, origin: from, opened: now, seen: now}
+	a.flows[k] = &kept{state: keptProbing, origin: from, search: n.Purpose == flow.PurposeSearch, opened: now, seen: now}
 	a.unanswered = max(a.unanswered, 1)
 	a.Out.ToUpstream(packet)
 }
@@ -434,5 +435,8 @@
 	a.Observe(Decision{What: DecisionGone, Key: k, Agent: f.origin, Age: now.Sub(f.opened)})
 	a.forget(k, f)
 	a.denied[k] = now
+	if f.search {
+		packet = nil
+	}
 	a.notHeld(k, f.origin, packet)
 }
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"slices"
 	"time"
 
 	"crocusnotch/internal/config"
@@ -108,10 +109,11 @@
 	}
 	r.report(Decision{What: what, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.opened)})
 	delete(r.searching, m.Key)
-	if f.state == stateSearching && f.stage >= flow.HomeCount && len(f.held) > 0 && !f.sounded {
+	if f.state == stateSearching && f.stage >= flow.HomeCount && len(f.held) > 0 && !slices.Contains(f.given, m.Owner) {
 		r.out.Carry(m.Owner, r.note(m.Key, flow.PurposeOwner, m.Owner), f.held)
 	}
 	f.state, f.owner, f.held, f.tried = stateOwned, m.Owner, nil, nil
+	f.heard, f.denied, f.probed, f.given, f.silent = nil, nil, nil, nil, nil
 	f.homes = flow.Homes{}
 	r.register(m.Key, f)
 	r.release(m.Key, f)
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -61,6 +61,7 @@
 // Owner is an agent that may own flows.
 type Owner struct {
 	Service string
+	Zone    string
 	// Announced reports whether its upstream has announced itself to this process
 	// of the agent.
 	Announced bool
@@ -97,21 +98,23 @@
 	homes  flow.Homes
 	tried  []flow.End
 	asked  int        // agents that a search asked
-	denied []flow.End // agents that said that they do not own the flow
-	probed []flow.End // agents whose upstreams have to tell
+	heard  []flow.End // agents that answered
+	denied []flow.End // of them, those that do not own the flow
+	probed []flow.End // agents whose upstreams have to tell and were not given the packet
+	given  []flow.End // agents that were given the packet
+	silent []flow.End // of them, those that have not denied the flow
 	held   []byte     // packet that a search is made with
 	queue  [][]byte   // packets that came during the search
 	seq    uint32
 	since  time.Time // start of the stage
-	// sounded is set once the held packet was given to the agents in probed.
-	sounded bool
-	opened  time.Time
-	seen    time.Time
+	opened time.Time
+	seen   time.Time
 }
 
 // Router is the state machine of an entry: it finds the agent for each packet
 // of a caller. It is not safe for concurrent use.
 type Router struct {
+	zone      string
 	view      *View
 	placement *flow.Placement
 	flows     map[flow.Key]*routed
@@ -129,6 +132,7 @@
 // which flows may be forgotten.
 func NewRouter(zone string, maxAge time.Duration, out Outbox, observe Observer) *Router {
 	return &Router{
+		zone:      zone,
 		view:      &View{Fleet: config.Empty()},
 		placement: flow.NewPlacement(zone),
 		flows:     map[flow.Key]*routed{},
@@ -245,7 +249,7 @@
 	case KindRegister:
 		r.registered(now, m)
 	case KindMayHold:
-		r.mayHold(from, m)
+		r.mayHold(now, from, m)
 	}
 }
 
@@ -265,6 +269,9 @@
 			r.askNext(now, k, f)
 			continue
 		}
+		if r.probeNext(now, k, f) {
+			continue
+		}
 		r.report(Decision{What: DecisionNotFound, Key: k, Age: now.Sub(f.opened)})
 		delete(r.searching, k)
 		f.state, f.held, f.queue = stateLost, nil, nil
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -32,9 +32,10 @@
 		return
 	}
 	f.denied = append(f.denied, from)
-	f.probed = slices.DeleteFunc(f.probed, func(e flow.End) bool { return e == from })
+	f.hear(from)
+	f.probed, f.silent = without(f.probed, from), without(f.silent, from)
 	if len(f.denied) < f.asked {
-		r.probe(k, f)
+		r.probe(now, k, f)
 		return
 	}
 	delete(r.searching, k)
@@ -58,37 +59,74 @@
 }
 
 // mayHold notes an agent whose upstream has to tell.
-func (r *Router) mayHold(from flow.End, m *Message) {
+func (r *Router) mayHold(now time.Time, from flow.End, m *Message) {
 	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount || slices.Contains(f.probed, from) {
+	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount || slices.Contains(f.heard, from) {
 		return
 	}
-	f.probed = append(f.probed, from)
-	r.probe(m.Key, f)
+	f.hear(from)
+	if r.routeHas(m.Key, r.view.Owners[from].Service) {
+		f.probed = append(f.probed, from) // others must not be given the packet
+	}
+	r.probe(now, m.Key, f)
 }
 
-// probe gives the packet of a search to the agents whose upstreams have to tell,
-// once all agents with an upstream have answered. A missing one may be the
-// owner, and the packets would reach other upstreams only.
-func (r *Router) probe(k flow.Key, f *routed) {
-	if f.sounded || len(f.probed) == 0 || r.ownerMissing(k, f) {
-		return
+// probe gives the packet of a search to agents whose upstreams have to tell, once
+// all agents with an upstream have answered. A missing one may be the owner, and
+// the packets would reach other upstreams only.
+func (r *Router) probe(now time.Time, k flow.Key, f *routed) {
+	if len(f.silent) == 0 {
+		r.probeNext(now, k, f)
+	}
+}
+
+// probeNext gives the packet to the agents of one availability zone that were not
+// given it. The own zone is the first, where most flows were placed: a packet for
+// all agents at once fills the links of small instances when many flows are
+// searched for, as after all processes were killed. ok is false when nobody is
+// left.
+func (r *Router) probeNext(now time.Time, k flow.Key, f *routed) (ok bool) {
+	if f.stage != flow.HomeCount || len(f.probed) == 0 || r.ownerMissing(k, f) {
+		return false
+	}
+	zone := r.view.Owners[f.probed[0]].Zone
+	if slices.ContainsFunc(f.probed, func(a flow.End) bool { return r.view.Owners[a].Zone == r.zone }) {
+		zone = r.zone
 	}
-	f.sounded = true
+	f.since, f.silent = now, f.silent[:0]
+	rest := f.probed[:0]
 	for _, agent := range f.probed {
+		if r.view.Owners[agent].Zone != zone {
+			rest = append(rest, agent)
+			continue
+		}
+		f.given, f.silent = append(f.given, agent), append(f.silent, agent)
 		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
 	}
+	f.probed = rest
+	return true
+}
+
+// hear notes an agent that answered a search.
+func (f *routed) hear(agent flow.End) {
+	if !slices.Contains(f.heard, agent) {
+		f.heard = append(f.heard, agent)
+	}
+}
+
+func without(list []flow.End, e flow.End) []flow.End {
+	return slices.DeleteFunc(list, func(x flow.End) bool { return x == e })
 }
 
 // ownerMissing reports whether an agent that was asked and whose upstream has
 // announced itself has not answered yet.
 func (r *Router) ownerMissing(k flow.Key, f *routed) bool {
-	if len(f.denied)+len(f.probed) >= f.asked {
+	if len(f.heard) >= f.asked {
 		return false
 	}
 	for _, agent := range r.view.Asked {
 		o := r.view.Owners[agent]
-		if !o.Announced || slices.Contains(f.denied, agent) || slices.Contains(f.probed, agent) {
+		if !o.Announced || slices.Contains(f.heard, agent) {
 			continue
 		}
 		if len(r.view.Asked) <= searchAll || r.routeHas(k, o.Service) {
@@ -125,7 +163,8 @@
 func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
 	f.since, f.stage = now, flow.HomeCount
 	all := len(r.view.Owners) <= searchAll
-	f.asked, f.denied, f.probed, f.sounded = 0, f.denied[:0], f.probed[:0], false
+	f.asked, f.heard, f.denied = 0, f.heard[:0], f.denied[:0]
+	f.probed, f.given, f.silent = f.probed[:0], f.given[:0], f.silent[:0]
 	for _, agent := range r.view.Asked {
 		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent].Service) {
 			continue
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -42,6 +42,7 @@
 	incarnation uint64
 	started     time.Time // first sight of the incarnation
 	slots       uint16
+	zone        uint8
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
@@ -107,7 +108,7 @@
 	if o.incarnation != m.Incarnation {
 		o.incarnation, o.started = m.Incarnation, now
 	}
-	o.service, o.slots, o.seen = m.Service, m.Slots, now
+	o.service, o.slots, o.zone, o.seen = m.Service, m.Slots, m.Zone, now
 	b.owners[addr] = o
 }
 
@@ -153,7 +154,7 @@
 		case o.slots == 0 && now.Sub(o.started) > firstAnnouncement:
 			continue // it has never announced an upstream
 		}
-		v.Owners[addr] = Owner{Service: names[o.service], Announced: o.slots > 0}
+		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.settings.ZoneName(o.zone), Announced: o.slots > 0}
 		v.Asked = append(v.Asked, addr)
 	}
 	slices.SortFunc(v.Asked, flow.End.Compare)
