Let only new agents hold up resets

An agent that is not asked any more owns no flow. Test: TestOnlyNewAgentsUnsettle (agent gone: fails before, passes; a new agent still holds up).

--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -37,8 +37,8 @@
 	// maxQueue bounds the packets of one flow that wait for a search: a
 	// request of a few kilobytes.
 	maxQueue = 8
-	// settledAfter is the time without a change of the set of agents after which
-	// an entry takes it for complete: an agent that restarts is back sooner.
+	// settledAfter is the time without a new agent after which an entry takes the
+	// set of agents for complete: one that restarts is back sooner.
 	settledAfter = 500 * time.Millisecond
 	// parkedLife is the time after the last packet of a flow for which a search
 	// waits for the agents to settle.
@@ -133,7 +133,7 @@
 	observe   Observer
 	maxAge    time.Duration
 	fresh     time.Time
-	changed   time.Time // last change of the set of agents
+	changed   time.Time // the last new agent was seen
 	swept     time.Time
 }
 
@@ -164,7 +164,7 @@
 // became homes.
 func (r *Router) SetView(now time.Time, v *View) {
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
-	if !slices.Equal(r.view.Asked, v.Asked) {
+	if slices.ContainsFunc(v.Asked, func(a flow.End) bool { _, known := r.view.Owners[a]; return !known }) {
 		r.changed = now
 	}
 	r.view = v
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -53,8 +53,8 @@
 	r.out.Reset(k, f.seq)
 }
 
-// knowsAgents reports whether no agent has come or gone for a while, so that the
-// known ones are all that can own a flow.
+// knowsAgents reports whether no agent has come for a while, so that the known
+// ones are all that can own a flow. One that is not asked any more can't own any.
 func (r *Router) knowsAgents(now time.Time) bool {
 	return !r.changed.IsZero() && now.Sub(r.changed) >= settledAfter
 }
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -143,3 +143,37 @@
 	t.Logf("%d datagrams, %d bytes", out.datagrams, total)
 	is.True(total <= budget)
 }
+
+// An agent that is not asked any more, such as one without an upstream 2 s after a
+// loss of power, holds up no resets; a new one does, since it may own flows.
+func TestOnlyNewAgentsUnsettle(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change func(*world)
+		told   bool
+	}{
+		"same agents": {func(*world) {}, true},
+		"agent gone":  {func(w *world) { w.agents = w.agents[1:] }, true},
+		"agent new":   {func(w *world) { w.addAgent(30, "alpha") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t.Fatalf, 2, 9)
+			w.advance(time.Second)
+			tt.change(w)
+			e := w.entries[0]
+			v := *e.router.view
+			v.Owners, v.Asked = map[flow.End]Owner{}, nil
+			for _, a := range w.agents {
+				v.Owners[a.addr] = Owner{Service: a.service, Announced: true}
+				v.Asked = append(v.Asked, a.addr)
+			}
+			e.router.SetView(w.now, &v)
+			k := flow.KeyOf(flow.EndOf(addrOf(9, 1)), flow.EndOf(routeA))
+			w.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+			w.drain()
+			is.Equal(e.router.flows[k].state == stateGone, tt.told)
+			w.advance(settledAfter + tickPeriod)
+			is.Equal(e.router.flows[k].state, stateGone)
+		})
+	}
+}
