--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,7 +12,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
@@ -121,12 +120,6 @@
 
 func (p *Program) serve(log *slog.Logger, path string) error {
 	registry := telemetry.NewRegistry()
-	_, address := p.Addresses()
-	metrics, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return errors.Wrap(err, "open metrics socket")
-	}
-	defer func() { _ = metrics.Close() }()
 	process, err := p.New(log, registry)
 	if err != nil {
 		return err
@@ -136,7 +129,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return telemetry.Serve(ctx, metrics, registry, process.Health) })
+	g.Go(func() error { return p.serveMetrics(ctx, log, registry, process.Health) })
 	g.Go(func() error {
 		defer cancel()
 		return process.Run(ctx)
@@ -144,6 +137,17 @@
 	return g.Wait()
 }
 
+// serveMetrics serves the metrics if it can: callers are served without them too.
+func (p *Program) serveMetrics(ctx context.Context, log *slog.Logger, r *prometheus.Registry, health telemetry.Health) error {
+	_, address := p.Addresses()
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		log.Warn("metrics are not served", "address", address.String(), "err", err)
+		return nil
+	}
+	return telemetry.Serve(ctx, l, r, health)
+}
+
 // stopOnSignal starts a graceful stop at each signal; a second one does not
 // cut it short. The returned function restores the signals.
 func stopOnSignal(p Process) func() {
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"crocusnotch/internal/config"
 )
@@ -60,3 +64,31 @@
 	_, err := choose(path+"x", programs)
 	is.True(err != nil)
 }
+
+// stillProcess ends its work at once.
+type stillProcess struct{ ran bool }
+
+func (p *stillProcess) Run(context.Context) error { p.ran = true; return nil }
+func (p *stillProcess) Stop()                     {}
+func (p *stillProcess) Health() (bool, string)    { return true, "" }
+
+// A port that is taken costs the metrics, not the callers.
+func TestProgramWorksWithoutMetrics(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	address := netip.MustParseAddrPort(taken.Addr().String())
+	path := filepath.Join(t.TempDir(), "s.json")
+	is.NoErr(os.WriteFile(path, []byte(controlSettings), 0o600))
+	var out bytes.Buffer
+	var process stillProcess
+	p := Program{
+		Settings:  &config.Control{},
+		Addresses: func() (data, metrics netip.AddrPort) { return address, address },
+		New:       func(*slog.Logger, *prometheus.Registry) (Process, error) { return &process, nil },
+	}
+	is.NoErr(p.serve(slog.New(slog.NewTextHandler(&out, nil)), path))
+	is.True(process.ran)
+	is.True(strings.Contains(out.String(), "metrics are not served"))
+}
