Answer only questions at agents, and name things by the last read

Cause: read as a newcomer: an agent answered any signed message as a question. Conclusion: other kinds are dropped and counted as malformed.

--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -113,8 +113,8 @@
 func (n *Node) askPeers(ctx context.Context, r *rand.Rand) bool {
 	first := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 	found := make(chan bool, 1)
-	known := slices.Concat(n.opts.Seeds, n.rostered)
-	go func() { found <- n.snapshotFromAny(ctx, first, n.knownEntries(), known) }()
+	listed := slices.Concat(n.opts.Seeds, n.rostered)
+	go func() { found <- n.snapshotFromAny(ctx, first, n.knownEntries(), listed) }()
 	if n.opts.Store == nil || time.Since(n.rostersRead) < n.opts.Joining.RosterPause {
 		return <-found
 	}
@@ -152,8 +152,8 @@
 }
 
 // snapshotFromAny learns from the first of a few candidates that answers. They
-// are asked one after the other without waiting for those that do not answer;
-// the first lists come first.
+// are asked one after the other without waiting for those that do not answer,
+// list by list, each in random order.
 func (n *Node) snapshotFromAny(ctx context.Context, r *rand.Rand, lists ...[]netip.AddrPort) bool {
 	var shuffled []netip.AddrPort
 	for _, list := range lists {
--- a/internal/flow/outlier.go
+++ b/internal/flow/outlier.go
@@ -17,6 +17,9 @@
 	failingWeight = 20
 )
 
+// outcomeFade is what is left of an outcome's weight after a tick.
+var outcomeFade = math.Exp(-1.0 / outcomeSpan)
+
 // Outcomes judges an upstream by what became of its latest requests. Its own
 // statements about its health are not used: they may be wrong either way.
 type Outcomes struct{ good, bad float64 }
@@ -30,9 +33,8 @@
 
 // Tick lets earlier outcomes fade.
 func (o *Outcomes) Tick() {
-	fade := math.Exp(-1.0 / outcomeSpan)
-	o.good *= fade
-	o.bad *= fade
+	o.good *= outcomeFade
+	o.bad *= outcomeFade
 }
 
 // Failing returns the share of requests that failed lately, from 0 to 1.
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -252,6 +252,10 @@
 func (a *Agent) fromEntry(from netip.AddrPort, b []byte) {
 	if IsMessage(b) {
 		if m, err := DecodeMessage(b, a.keys); err == nil {
+			if m.Kind != KindAsk {
+				a.counters.drop(dropMalformed)
+				return
+			}
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			a.keeper.Asked(time.Now(), flow.EndOf(from), m.Asks)
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -21,7 +21,7 @@
 	KindRefused  Kind = 2  // an agent does not take the new flow; carries its packet
 	KindNotHeld  Kind = 3  // an agent does not hold the flow; carries its packet
 	KindLoad     Kind = 4  // an agent's load
-	KindLookup   Kind = 5  // entry to a home of the flow; carries a packet of it
+	KindLookup   Kind = 5  // entry to a home of the flow; carries a packet of it, but in a storm of searches
 	KindUnknown  Kind = 6  // a home does not know the owner
 	KindRegister Kind = 7  // entry to a home: owners of flows
 	KindMayHold  Kind = 8  // an agent can't tell without its upstream whether it holds the flow
