Let one piece serve pauses and requests to stop

Cause: read of the whole change: a pause that ends with its context stood in entry, fleet, passthrough and the store's client, a stop that may be asked for again in entry, agent and passthrough. telemetry.NewLogger was used by its test only, since programs write bounded logs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/request"
 	"crocusnotch/internal/wire"
 )
@@ -58,10 +58,9 @@
 	announceListener net.Listener
 	relayListener    net.Listener
 
-	stopOnce sync.Once
-	stop     chan struct{}
-	loop     *loop
-	abort    context.CancelFunc // ends the tries
+	stop  *lifecycle.Stopper
+	loop  *loop
+	abort context.CancelFunc // ends the tries
 }
 
 // New opens the agent's sockets. The error names the one that failed.
@@ -88,7 +87,7 @@
 		flows:       newFlowSet(),
 		peers:       newPeerLoads(),
 		upstream:    newUpstreamClient(d.Network),
-		stop:        make(chan struct{}),
+		stop:        lifecycle.NewStopper(),
 	}
 	a.relays = newRelayClient(d.Network, d.TLS, func(r request.PeerReport) { a.driver.peerLoad(r) })
 	if err := a.open(); err != nil {
@@ -190,7 +189,7 @@
 
 // Stop drains: callers are told to go elsewhere, running work finishes, and
 // Run returns when the last flow has ended.
-func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
+func (a *Agent) Stop() { a.stop.Stop() }
 
 // close ends everything at once. After a drain nothing is left to cut; after
 // an abrupt end nothing more is sent, as when the process dies.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -106,7 +106,7 @@
 	loads := time.NewTicker(loadInterval)
 	defer loads.Stop()
 	failed := make(chan error, 1)
-	stop := l.agent.stop
+	stop := l.agent.stop.Requested()
 	l.refresh(ctx, failed)
 	for {
 		select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"crypto/tls"
 	"log/slog"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/routing"
 	"crocusnotch/internal/wire"
@@ -56,8 +56,7 @@
 	data     socket
 	counters *counters
 	table    atomic.Pointer[routing.Table]
-	stop     chan struct{}
-	stopOnce sync.Once
+	stop     *lifecycle.Stopper
 }
 
 func (d *Deps) listen(a netip.AddrPort) (socket, error) {
@@ -98,7 +97,7 @@
 		fabric:   fabric,
 		data:     data,
 		counters: newCounters(d.Registry),
-		stop:     make(chan struct{}),
+		stop:     lifecycle.NewStopper(),
 	}
 	e.table.Store(routing.NewTable(config.Empty(), s.Zone, nil))
 	e.fleet.SetStatus(e.counters.fill)
@@ -108,7 +107,7 @@
 // Stop starts a graceful stop: the entry announces that it drains, relays for
 // a short time and leaves. Run returns when it is done.
 func (e *Entry) Stop() {
-	e.stopOnce.Do(func() { close(e.stop) })
+	e.stop.Stop()
 }
 
 // Run relays packets until ctx ends, which is abrupt and returns the cause, or
@@ -146,38 +145,22 @@
 // awaitStop waits for the end of ctx or of a graceful stop; it reports whether
 // it was the latter.
 func (e *Entry) awaitStop(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
+	if !e.stop.Wait(ctx) {
 		return false
-	case <-e.stop:
 	}
 	e.log.Info("draining", "seconds", drainPeriod.Seconds())
 	e.fleet.Update(func(r *membership.Record) { r.State = membership.StateDraining })
-	if !sleep(ctx, drainPeriod) {
+	if !lifecycle.Sleep(ctx, drainPeriod) {
 		return false
 	}
 	e.fleet.Leave(ctx)
-	return sleep(ctx, leavePeriod)
-}
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return lifecycle.Sleep(ctx, leavePeriod)
 }
 
 // Health reports whether the entry can forward new flows.
 func (e *Entry) Health() (ok bool, reason string) {
-	select {
-	case <-e.stop:
+	if e.stop.Stopping() {
 		return false, "draining"
-	default:
 	}
 	table := e.table.Load()
 	if table.Keys() == nil {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"crocusnotch/internal/lifecycle"
 )
 
 const (
@@ -24,7 +26,7 @@
 		e.table.Store(table)
 		reporter.report(time.Now(), table)
 		pause := min(rebuildPause*time.Since(start), maxRebuildPause)
-		if !sleep(ctx, pause) {
+		if !lifecycle.Sleep(ctx, pause) {
 			return nil
 		}
 		select {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -39,7 +40,7 @@
 			return nil
 		}
 		if err != nil {
-			sleep(ctx, joinPoll)
+			lifecycle.Sleep(ctx, joinPoll)
 			continue
 		}
 		select {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -43,7 +44,7 @@
 		if !n.lonely.Load() && n.Config().Keys != nil {
 			backoff = shortest
 			n.meetSeeds(ctx, r)
-			sleep(ctx, joinPoll)
+			lifecycle.Sleep(ctx, joinPoll)
 			continue
 		}
 		if n.join(ctx, r, failed) {
@@ -68,7 +69,7 @@
 		if alone && len(n.knownEntries()) > 0 {
 			return
 		}
-		sleep(ctx, min(left, meetPoll))
+		lifecycle.Sleep(ctx, min(left, meetPoll))
 	}
 }
 
@@ -85,15 +86,6 @@
 	n.snapshotFromAny(ctx, r, n.opts.Seeds)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // join learns from the first peer that answers. When none does, an entry reads
 // the configuration from the store; an agent has no use for it before there is
 // an entry, and waits for one first.
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/platform"
 )
@@ -38,7 +39,7 @@
 	// When all entries start at once each one ranks first until it has met
 	// others.
 	first := n.opts.Reading.First
-	sleep(ctx, first+time.Duration(r.Int64N(int64(first))))
+	lifecycle.Sleep(ctx, first+time.Duration(r.Int64N(int64(first))))
 	from := uint64(0)
 	backoff := watchBackoffMin
 	for ctx.Err() == nil {
@@ -47,7 +48,7 @@
 			if n.opts.Reading.Stale == 0 {
 				from = 0
 			}
-			sleep(ctx, n.readPoll())
+			lifecycle.Sleep(ctx, n.readPoll())
 			continue
 		}
 		next, err := n.watchOnce(ctx, from, wait)
@@ -61,7 +62,7 @@
 		if errors.Is(err, platform.ErrCompacted) {
 			from = 0
 		}
-		sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
+		lifecycle.Sleep(ctx, backoff/2+time.Duration(r.Int64N(int64(backoff))))
 		backoff = min(2*backoff, watchBackoffMax)
 	}
 	return nil
@@ -171,10 +172,10 @@
 
 // rosterLoop keeps the roster of the own zone.
 func (n *Node) rosterLoop(ctx context.Context, r *rand.Rand) error {
-	sleep(ctx, time.Duration(r.Int64N(int64(rosterFirst))))
+	lifecycle.Sleep(ctx, time.Duration(r.Int64N(int64(rosterFirst))))
 	for ctx.Err() == nil {
 		n.rosterTurn(ctx, r)
-		sleep(ctx, rosterPeriod/2+time.Duration(r.Int64N(int64(rosterPeriod))))
+		lifecycle.Sleep(ctx, rosterPeriod/2+time.Duration(r.Int64N(int64(rosterPeriod))))
 	}
 	return nil
 }
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -12,6 +12,7 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -40,7 +41,7 @@
 	entry  flow.End // some entry, for flows that no entry has shown
 	shown  membership.Record
 
-	stop *stopper
+	stop *lifecycle.Stopper
 }
 
 // NewAgent opens the sockets of an agent.
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	a := &Agent{settings: s, deps: d, stop: newStopper()}
+	a := &Agent{settings: s, deps: d, stop: lifecycle.NewStopper()}
 	a.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
 	started := time.Now()
 	a.keeper = NewKeeper(KeeperOptions{
@@ -110,11 +111,11 @@
 }
 
 // Stop starts a graceful stop.
-func (a *Agent) Stop() { a.stop.stop() }
+func (a *Agent) Stop() { a.stop.Stop() }
 
 // Health reports whether the agent has an upstream and takes new flows.
 func (a *Agent) Health() (ok bool, reason string) {
-	if a.stop.stopping() {
+	if a.stop.Stopping() {
 		return false, "draining"
 	}
 	a.mu.Lock()
@@ -143,7 +144,7 @@
 // drain exits at a moment without an open request, if one comes soon: the
 // flows stay at the upstream, and the next process learns them from it.
 func (a *Agent) drain(ctx context.Context) {
-	if !a.stop.wait(ctx) {
+	if !a.stop.Wait(ctx) {
 		return
 	}
 	a.mu.Lock()
@@ -152,9 +153,9 @@
 	a.deps.Log.Info("draining", "seconds", agentDrain.Seconds())
 	limit := time.Now().Add(min(agentDrain, a.settings.Grace()/2))
 	a.show(membership.StateDraining, a.slots())
-	sleep(ctx, tickPeriod)
+	lifecycle.Sleep(ctx, tickPeriod)
 	for time.Now().Before(limit) && ctx.Err() == nil && a.busy() > 0 {
-		sleep(ctx, idlePoll)
+		lifecycle.Sleep(ctx, idlePoll)
 	}
 	a.fleet.Leave(ctx)
 }
@@ -202,7 +203,7 @@
 
 // showUpstream announces the upstream's condition to the fleet when it changed.
 func (a *Agent) showUpstream(now time.Time) {
-	if a.stop.stopping() {
+	if a.stop.Stopping() {
 		return
 	}
 	a.mu.Lock()
@@ -300,7 +301,7 @@
 		case <-changes:
 		}
 		a.configure(a.fleet.Config(), a.fleet.Members())
-		sleep(ctx, viewPeriod)
+		lifecycle.Sleep(ctx, viewPeriod)
 	}
 }
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -14,6 +14,7 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -44,7 +45,7 @@
 	router *Router
 
 	ready atomic.Bool
-	stop  *stopper
+	stop  *lifecycle.Stopper
 }
 
 // NewEntry opens the sockets of an entry.
@@ -53,7 +54,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "secret")
 	}
-	e := &Entry{settings: s, deps: d, started: time.Now(), stop: newStopper()}
+	e := &Entry{settings: s, deps: d, started: time.Now(), stop: lifecycle.NewStopper()}
 	e.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
 	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
@@ -113,11 +114,11 @@
 }
 
 // Stop starts a graceful stop.
-func (e *Entry) Stop() { e.stop.stop() }
+func (e *Entry) Stop() { e.stop.Stop() }
 
 // Health reports whether the entry can place new flows.
 func (e *Entry) Health() (ok bool, reason string) {
-	if e.stop.stopping() {
+	if e.stop.Stopping() {
 		return false, "draining"
 	}
 	if !e.ready.Load() {
@@ -142,13 +143,13 @@
 }
 
 func (e *Entry) drain(ctx context.Context) {
-	if !e.stop.wait(ctx) {
+	if !e.stop.Wait(ctx) {
 		return
 	}
 	period := min(entryDrain, e.settings.Grace()/2)
 	e.deps.Log.Info("draining", "seconds", period.Seconds())
 	e.fleet.Update(func(r *membership.Record) { r.State = membership.StateDraining })
-	sleep(ctx, period)
+	lifecycle.Sleep(ctx, period)
 	e.fleet.Leave(ctx)
 }
 
@@ -242,7 +243,7 @@
 			incarnations[m.Addr] = m.Incarnation
 		}
 		e.mu.Unlock()
-		sleep(ctx, viewPeriod)
+		lifecycle.Sleep(ctx, viewPeriod)
 	}
 }
 
--- a/internal/passthrough/frame.go
+++ b/internal/passthrough/frame.go
@@ -2,43 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 )
 
-// stopper is a request to stop that may be made again.
-type stopper struct {
-	requested chan struct{}
-	once      sync.Once
-}
-
-func newStopper() *stopper { return &stopper{requested: make(chan struct{})} }
-
-func (s *stopper) stop() { s.once.Do(func() { close(s.requested) }) }
-
-// stopping reports whether a stop was requested.
-func (s *stopper) stopping() bool {
-	select {
-	case <-s.requested:
-		return true
-	default:
-		return false
-	}
-}
-
-// wait returns when a stop was requested, which it reports, or ctx ended.
-func (s *stopper) wait(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.requested:
-		return true
-	}
-}
-
 // frame is what an entry and an agent run: loops that end with ctx, loops that
 // end when their sockets are closed, and a graceful stop.
 type frame struct {
--- a/internal/passthrough/socket.go
+++ b/internal/passthrough/socket.go
@@ -71,12 +71,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,6 +19,8 @@
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
+
+	"crocusnotch/internal/lifecycle"
 )
 
 // MaxValueSize is the largest value of an object in bytes.
@@ -156,14 +158,10 @@
 // pause waits before another try; the error is that of ctx.
 func (c *Client) pause(ctx context.Context, attempt int, name, reason string) error {
 	c.metrics.retry(name, reason)
-	timer := time.NewTimer(c.backoff(attempt))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !lifecycle.Sleep(ctx, c.backoff(attempt)) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func (c *Client) backoff(attempt int) time.Duration {
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -35,11 +34,6 @@
 	return r
 }
 
-// NewLogger returns a logger of JSON lines with the process's role and name.
-func NewLogger(w io.Writer, role, name string) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(w, nil)).With("role", role, "process", name)
-}
-
 // Serve answers /metrics and /healthz on the listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, r *prometheus.Registry, health Health) error {
 	mux := http.NewServeMux()
--- a/internal/telemetry/server_test.go
+++ b/internal/telemetry/server_test.go
@@ -48,6 +48,8 @@
 func TestLoggerNamesTheProcess(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
-	NewLogger(&out, "entry", "127.0.0.1:1").Info("zone out", "zone", "a")
+	log, flush := NewBoundedLogger(&out, "entry", "127.0.0.1:1")
+	log.Info("zone out", "zone", "a")
+	flush()
 	is.True(strings.Contains(out.String(), `"role":"entry","process":"127.0.0.1:1","zone":"a"`))
 }
