--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -258,10 +258,8 @@
 		return nil
 	}
 	_, n.rostered = findRoster(list.Objects, n.opts.Zone)
-	if n.opts.Keys != nil {
-		seeds := slices.Concat(n.opts.Seeds, n.rostered)
-		n.command(func(time.Time) { n.core.SetSeeds(seeds) })
-	}
+	seeds := n.opts.coreSeeds(n.rostered)
+	n.command(func(time.Time) { n.core.SetSeeds(seeds) })
 	return n.rostered
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -3,11 +3,13 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -141,7 +143,7 @@
 		commands: make(chan func(time.Time), commandsSize),
 		stopped:  make(chan struct{}),
 	}
-	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing, Seeds: o.coreSeeds()})
+	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing, Seeds: o.coreSeeds(nil)})
 	n.builder = config.NewBuilder()
 	n.fetching = map[config.ID]bool{}
 	n.config.Store(n.withKeys(config.Empty()))
@@ -157,13 +159,13 @@
 	return n, nil
 }
 
-// coreSeeds returns the seeds that membership itself may ask: with keys of the
-// store a process can't read an answer before it has joined.
-func (o *Options) coreSeeds() []netip.AddrPort {
+// coreSeeds returns the seeds and rostered entries that membership itself may ask:
+// with keys of the store a process can't read an answer before it has joined.
+func (o *Options) coreSeeds(rostered []netip.AddrPort) []netip.AddrPort {
 	if o.Keys == nil {
 		return nil
 	}
-	return o.Seeds
+	return slices.Concat(o.Seeds, rostered)
 }
 
 func withDefaults(o Options) Options {
@@ -194,28 +196,16 @@
 	if len(r.Kinds) == 0 {
 		r.Kinds = configKinds
 	}
-	if r.Watchers == 0 {
-		r.Watchers = watchersPerRegion
-	}
-	if r.Wait == 0 {
-		r.Wait = watchWait
-	}
-	if r.First == 0 {
-		r.First = watchFirst
-	}
+	r.Watchers = cmp.Or(r.Watchers, watchersPerRegion)
+	r.Wait = cmp.Or(r.Wait, watchWait)
+	r.First = cmp.Or(r.First, watchFirst)
 	return r
 }
 
 func (j Joining) withDefaults() Joining {
-	if j.Timeout == 0 {
-		j.Timeout = snapshotTimeout
-	}
-	if j.BackoffMin == 0 {
-		j.BackoffMin = joinBackoffMin
-	}
-	if j.BackoffMax == 0 {
-		j.BackoffMax = joinBackoffMax
-	}
+	j.Timeout = cmp.Or(j.Timeout, snapshotTimeout)
+	j.BackoffMin = cmp.Or(j.BackoffMin, joinBackoffMin)
+	j.BackoffMax = cmp.Or(j.BackoffMax, joinBackoffMax)
 	return j
 }
 
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -207,15 +207,15 @@
 }
 
 func (c *Core) heartbeatAll(now time.Time) {
-	peer := c.peerToConfirm()
+	peer, zonesOut := c.peerToConfirm(), c.heldZonesOut()
 	for _, w := range c.sortedWatchers() {
 		if m := c.table.get(w.addr); m != nil {
-			c.heartbeat(w, m, peer)
+			c.heartbeat(w, m, peer, zonesOut)
 		}
 	}
 }
 
-func (c *Core) heartbeat(w *watcher, m *member, peer *Record) {
+func (c *Core) heartbeat(w *watcher, m *member, peer *Record, zonesOut []Stub) {
 	records := []Record{c.self}
 	if peer != nil {
 		records = append(records, *peer)
@@ -226,7 +226,7 @@
 		Epoch:   w.epoch,
 		Seq:     w.seen,
 		Follow:  c.agent.follow,
-		Stubs:   c.heldZonesOut(),
+		Stubs:   zonesOut,
 		Needy:   len(c.table.entries) < fewEntries && c.agent.turn%needyPeriods == 0,
 	})
 }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -276,10 +277,16 @@
 
 // Period returns the time until the next Tick.
 func (c *Core) Period(now time.Time) time.Duration {
-	if c.starting(now) && c.timing.StartGossip > 0 {
-		return c.timing.StartGossip
+	return c.pace(now, c.timing.StartGossip, c.timing.Gossip)
+}
+
+// pace returns the period of a starting process, where there is one, and later
+// the steady one.
+func (c *Core) pace(now time.Time, start, steady time.Duration) time.Duration {
+	if c.starting(now) {
+		return cmp.Or(start, steady)
 	}
-	return c.timing.Gossip
+	return steady
 }
 
 func (c *Core) jitter(d time.Duration) time.Duration {
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -34,10 +34,7 @@
 	if now.Before(c.repair.next) {
 		return
 	}
-	c.repair.next = now.Add(c.timing.Digest)
-	if c.starting(now) && c.timing.StartDigest > 0 {
-		c.repair.next = now.Add(c.timing.StartDigest)
-	}
+	c.repair.next = now.Add(c.pace(now, c.timing.StartDigest, c.timing.Digest))
 	c.repair.listed = 0
 	for _, peer := range c.randomEntries(1, netip.AddrPort{}) {
 		c.sendDigest(peer.Control, TableMembers)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -74,24 +75,12 @@
 	if o.HTTP == nil {
 		o.HTTP = &http.Client{}
 	}
-	if o.CallTimeout == 0 {
-		o.CallTimeout = defaultCallTimeout
-	}
-	if o.Attempts == 0 {
-		o.Attempts = defaultAttempts
-	}
-	if o.BackoffMin == 0 {
-		o.BackoffMin = defaultBackoffMin
-	}
-	if o.BackoffMax == 0 {
-		o.BackoffMax = defaultBackoffMax
-	}
-	if o.CallsPerSec == 0 {
-		o.CallsPerSec = defaultCallsPerSec
-	}
-	if o.Burst == 0 {
-		o.Burst = defaultBurst
-	}
+	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
+	o.Attempts = cmp.Or(o.Attempts, defaultAttempts)
+	o.BackoffMin = cmp.Or(o.BackoffMin, defaultBackoffMin)
+	o.BackoffMax = cmp.Or(o.BackoffMax, defaultBackoffMax)
+	o.CallsPerSec = cmp.Or(o.CallsPerSec, defaultCallsPerSec)
+	o.Burst = cmp.Or(o.Burst, defaultBurst)
 	if o.Jitter == nil {
 		o.Jitter = fullJitter
 	}
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -9,10 +9,11 @@
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"crocusnotch/internal/lifecycle"
 )
 
 // Namespace prefixes all metrics.
@@ -47,15 +48,5 @@
 		_, _ = io.WriteString(w, "ok\n")
 	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer cancel()
-		_ = server.Shutdown(c)
-	})
-	defer stop()
-	err := server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "serve metrics")
+	return lifecycle.ServeHTTP(ctx, "metrics", server, l, closeTimeout)
 }
