Wire passed-through programs and seeds of random tests once

Cause: read of the whole change: cmd/crocus-entry and cmd/crocus-agent put the platform around their processes by the same lines, and four packages fixed rapid's flags each in its own way. Change: internal/launch completes a program of passed-through flows, the commands name their common part once; internal/rapidtest sets defaults below the command line's flags, with CROCUS_SEED for all four.

--- a/cmd/crocus-agent/http3.go
+++ b/cmd/crocus-agent/http3.go
@@ -17,18 +17,12 @@
 // http3Program serves HTTP/3 flows.
 func http3Program() *daemon.Program {
 	a := &http3Agent{}
-	return &daemon.Program{
-		Name:        name,
-		Description: description,
-		Version:     version,
-		Role:        role,
-		Settings:    &a.settings,
-		Addresses: func() (data, metrics netip.AddrPort) {
-			return a.settings.Data, a.settings.Metrics
-		},
-		Load: a.load,
-		New:  a.start,
-	}
+	p := program()
+	p.Settings = &a.settings
+	p.Addresses = func() (data, metrics netip.AddrPort) { return a.settings.Data, a.settings.Metrics }
+	p.Load = a.load
+	p.New = a.start
+	return &p
 }
 
 // http3Agent holds what the agent is made of.
--- a/cmd/crocus-agent/main.go
+++ b/cmd/crocus-agent/main.go
@@ -8,12 +8,16 @@
 	"crocusnotch/internal/daemon"
 )
 
-const (
-	name        = "crocus-agent"
-	description = "stands before one upstream: ends callers' flows or passes them on"
-	role        = "agent"
-)
-
 var version = "devel"
 
+// program returns what the programs of both transports have in common.
+func program() daemon.Program {
+	return daemon.Program{
+		Name:        "crocus-agent",
+		Description: "stands before one upstream: ends callers' flows or passes them on",
+		Version:     version,
+		Role:        "agent",
+	}
+}
+
 func main() { os.Exit(daemon.Main(http3Program(), passthroughProgram())) }
--- a/cmd/crocus-agent/passthrough.go
+++ b/cmd/crocus-agent/passthrough.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
-	"net"
-	"net/netip"
-
-	"github.com/go-faster/errors"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/daemon"
+	"crocusnotch/internal/launch"
 	"crocusnotch/internal/passthrough"
 	"crocusnotch/platform"
 )
@@ -18,35 +13,15 @@
 // passthroughProgram serves passed-through flows on the users' platform.
 func passthroughProgram() *daemon.Program {
 	var s config.PassthroughAgent
-	return &daemon.Program{
-		Name:        name,
-		Description: description,
-		Version:     version,
-		Role:        role,
-		Transport:   config.TransportPassthrough,
-		Settings:    &s,
-		Addresses:   func() (data, metrics netip.AddrPort) { return s.Data, s.Metrics },
-		Load:        func() error { return nil },
-		New: func(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
-			ready, err := net.Listen("tcp4", s.Ready.String())
-			if err != nil {
-				return nil, errors.Wrap(err, "listen for readiness checks")
-			}
-			announce, err := net.Listen("tcp4", s.Announce.String())
-			if err != nil {
-				return nil, errors.Wrap(err, "listen for announcements")
-			}
-			a, err := passthrough.NewAgent(s, passthrough.Deps{
-				Log: log, Registry: r, Codec: platform.Codec{}, Store: platform.NewClient(s.Store, r),
-			})
-			if err != nil {
-				return nil, err
-			}
-			return daemon.WithServices(
-				a,
-				func(ctx context.Context) error { return platform.Readiness(ctx, ready, a.Health) },
-				func(ctx context.Context) error { return platform.Announcements(ctx, announce, log, a.Announce) },
-			), nil
-		},
-	}
+	p := program()
+	p.Settings = &s
+	return launch.Passthrough(p, &s.Passthrough, func(d passthrough.Deps) (daemon.Process, []daemon.Service, error) {
+		l, err := launch.Listen(s.Announce, "announcements")
+		if err != nil {
+			return nil, nil, err
+		}
+		a, err := passthrough.NewAgent(s, d)
+		announcements := func(ctx context.Context) error { return platform.Announcements(ctx, l, d.Log, a.Announce) }
+		return a, []daemon.Service{announcements}, err
+	})
 }
--- a/cmd/crocus-entry/http3.go
+++ b/cmd/crocus-entry/http3.go
@@ -16,19 +16,15 @@
 func http3Program() *daemon.Program {
 	var s config.Entry
 	var material *wire.MutualTLS
-	return &daemon.Program{
-		Name:        name,
-		Description: description,
-		Version:     version,
-		Role:        role,
-		Settings:    &s,
-		Addresses:   func() (data, metrics netip.AddrPort) { return s.Data, s.Metrics },
-		Load: func() (err error) {
-			material, err = wire.LoadMutualTLS(s.TLS)
-			return err
-		},
-		New: func(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
-			return entry.New(s, entry.Deps{Log: log, Registry: r, TLS: material})
-		},
+	p := program()
+	p.Settings = &s
+	p.Addresses = func() (data, metrics netip.AddrPort) { return s.Data, s.Metrics }
+	p.Load = func() (err error) {
+		material, err = wire.LoadMutualTLS(s.TLS)
+		return err
 	}
+	p.New = func(log *slog.Logger, r *prometheus.Registry) (daemon.Process, error) {
+		return entry.New(s, entry.Deps{Log: log, Registry: r, TLS: material})
+	}
+	return &p
 }
--- a/internal/flow/main_test.go
+++ b/internal/flow/main_test.go
@@ -1,23 +1,11 @@
 package flow
 
 import (
-	"flag"
-	"os"
 	"testing"
-)
 
-// Random tests draw the same values each time; -rapid.seed overrides it.
-const (
-	seed   = "20261204"
-	checks = "300"
+	"crocusnotch/internal/rapidtest"
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": checks, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204", "checks": "300", "nofailfile": "true"})
 }
--- a/internal/routing/main_test.go
+++ b/internal/routing/main_test.go
@@ -1,25 +1,18 @@
 package routing
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/rapidtest"
 )
 
 func TestMain(m *testing.M) {
-	seed := os.Getenv("CROCUS_SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
-	_ = flag.Set("rapid.checks", "60")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "1", "checks": "60"})
 }
 
 const (
