Give entries and agents one shell, and name zones once a view builder

The line in TestUnknownAddress that empties the builder's zones names its new field; assertions as before.

--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -53,6 +53,9 @@
 // Idle returns the time after which a silent flow may be forgotten.
 func (r *Routes) Idle() time.Duration { return time.Duration(r.IdleMillis) * time.Millisecond }
 
+// Idle returns the time after which a silent flow may be forgotten.
+func (p *Pool) Idle() time.Duration { return time.Duration(p.IdleMillis) * time.Millisecond }
+
 // ServiceTag condenses the name of a service for records and datagrams.
 func ServiceTag(name string) uint32 { return uint32(xxhash.Sum64String(name)) | 1 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -160,24 +160,11 @@
 // ZoneID returns the number of a zone in membership records: its place among
 // the names of all zones, from 1. It is 0 for an unknown zone.
 func (p *Passthrough) ZoneID(name string) uint8 {
-	for i, z := range p.zoneNames() {
-		if z == name {
-			return uint8(i + 1)
-		}
-	}
-	return 0
-}
-
-// ZoneName returns the zone with the number.
-func (p *Passthrough) ZoneName(id uint8) string {
-	names := p.zoneNames()
-	if id == 0 || int(id) > len(names) {
-		return ""
-	}
-	return names[id-1]
+	return uint8(slices.Index(p.ZoneNames(), name) + 1)
 }
 
-func (p *Passthrough) zoneNames() []string { return slices.Sorted(maps.Keys(p.Zones)) }
+// ZoneNames returns all zones in the order of their numbers, from 1.
+func (p *Passthrough) ZoneNames() []string { return slices.Sorted(maps.Keys(p.Zones)) }
 
 // Peers returns the control addresses of the seeds.
 func (p *Passthrough) Peers() []netip.AddrPort {
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -4,13 +4,11 @@
 	"context"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
-	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
@@ -30,32 +28,26 @@
 
 // Agent carries packets between entries, callers and the upstream beside it.
 type Agent struct {
-	sender
+	shell
 	settings config.PassthroughAgent
-	deps     Deps
-	fleet    Fleet
 	outbound PacketConn
 
-	mu     sync.Mutex // guards what follows, and the sender
+	// Guarded by mu.
 	keeper *Keeper
 	entry  flow.End // some entry, for flows that no entry has shown
 	shown  membership.Record
-
-	stop *lifecycle.Stopper
 }
 
 // NewAgent opens the sockets of an agent.
 func NewAgent(s config.PassthroughAgent, d Deps) (*Agent, error) {
-	keys, err := s.Ring()
+	a := &Agent{settings: s}
+	err := a.setUp(&s.Passthrough, d)
 	if err != nil {
-		return nil, errors.Wrap(err, "secret")
+		return nil, err
 	}
-	a := &Agent{settings: s, deps: d, stop: lifecycle.NewStopper()}
-	a.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
-	started := time.Now()
 	a.keeper = NewKeeper(KeeperOptions{
 		Service: s.Service,
-		Started: started,
+		Started: time.Now(),
 		MaxAge:  s.FlowMax(),
 		Silence: silentPeriods * time.Duration(s.AnnounceMillis) * time.Millisecond,
 		Codec:   d.Codec,
@@ -64,10 +56,12 @@
 
 		Answered: func(d time.Duration) { a.counters.answers.Observe(d.Seconds()) },
 	})
-	a.counters.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.flows()) })
-	a.counters.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.busy()) })
-	a.counters.gauge("failing_ratio", "Share of the upstream's latest requests that failed.", a.failing)
-	a.counters.gauge("announcement_age_seconds", "Time since the upstream's last announcement.", a.announcementAge)
+	a.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.keeper.Flows()) })
+	a.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.keeper.Busy()) })
+	a.gauge("failing_ratio", "Share of the upstream's latest requests that failed.", a.keeper.Failing)
+	a.gauge("announcement_age_seconds", "Time since the upstream's last announcement.", func() float64 {
+		return time.Since(a.keeper.Heard()).Seconds()
+	})
 	if a.data, err = d.listen(s.Data); err != nil {
 		return nil, err
 	}
@@ -85,14 +79,6 @@
 	return a, nil
 }
 
-// events returns the ring of changes once there is a fleet node.
-func (a *Agent) events() *explain.Ring {
-	if a.fleet == nil {
-		return nil
-	}
-	return a.fleet.Events()
-}
-
 // fillStatus tells what the agent believes.
 func (a *Agent) fillStatus(s *wire.Status) {
 	a.mu.Lock()
@@ -110,9 +96,6 @@
 	)
 }
 
-// Stop starts a graceful stop.
-func (a *Agent) Stop() { a.stop.Stop() }
-
 // Health reports whether the agent has an upstream and takes new flows.
 func (a *Agent) Health() (ok bool, reason string) {
 	if a.stop.Stopping() {
@@ -160,24 +143,6 @@
 	a.fleet.Leave(ctx)
 }
 
-func (a *Agent) flows() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.keeper.Flows()
-}
-
-func (a *Agent) failing() float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.keeper.Failing()
-}
-
-func (a *Agent) announcementAge() float64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return time.Since(a.keeper.Heard()).Seconds()
-}
-
 func (a *Agent) busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -248,24 +213,13 @@
 	a.fleet.Update(func(r *membership.Record) { r.State, r.Slots = shown.State, shown.Slots })
 }
 
-func (a *Agent) readFailed() { a.counters.drop(dropRead) }
-
 func (a *Agent) fromEntry(from netip.AddrPort, b []byte) {
-	if IsMessage(b) {
-		if m, err := DecodeMessage(b, a.keys); err == nil {
-			if m.Kind != KindAsk {
-				a.counters.drop(dropMalformed)
-				return
-			}
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			a.keeper.Asked(time.Now(), flow.EndOf(from), m.Asks)
-			return
-		}
+	if m, err := DecodeMessage(b, a.keys); err == nil {
+		a.message(from, &m)
+		return
 	}
-	s, err := a.deps.Codec.Decode(b)
-	if err != nil {
-		a.counters.drop(dropMalformed)
+	s, ok := a.packet(b)
+	if !ok {
 		return
 	}
 	a.mu.Lock()
@@ -273,14 +227,24 @@
 	a.keeper.Packet(time.Now(), flow.EndOf(from), &s, b)
 }
 
-func (a *Agent) fromUpstream(_ netip.AddrPort, b []byte) {
-	s, err := a.deps.Codec.Decode(b)
-	if err != nil {
+// message takes a message of an entry; entries only ask.
+func (a *Agent) message(from netip.AddrPort, m *Message) {
+	if m.Kind != KindAsk {
 		a.counters.drop(dropMalformed)
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.keeper.Asked(time.Now(), flow.EndOf(from), m.Asks)
+}
+
+func (a *Agent) fromUpstream(_ netip.AddrPort, b []byte) {
+	s, ok := a.packet(b)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.keeper.FromUpstream(time.Now(), &s, b, a.entry)
 }
 
@@ -318,7 +282,7 @@
 	var idle time.Duration
 	if p := c.Pools[a.settings.Service]; p != nil {
 		l = flow.Limits{Connections: p.Connections, ColdPerSecond: p.ColdPerSecond}
-		idle = time.Duration(p.IdleMillis) * time.Millisecond
+		idle = p.Idle()
 	}
 	a.keeper.Configure(l, idle, c.ZonesOut[a.settings.Zone])
 }
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -5,14 +5,12 @@
 	"fmt"
 	"net/netip"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
-	"crocusnotch/internal/explain"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
@@ -34,30 +32,23 @@
 
 // Entry carries packets of callers to agents.
 type Entry struct {
-	sender
+	shell
 	settings config.PassthroughEntry
-	deps     Deps
-	fleet    Fleet
 	callers  PacketConn
 	started  time.Time
-
-	mu     sync.Mutex // guards router and the sender
-	router *Router
-
-	ready atomic.Bool
-	stop  *lifecycle.Stopper
+	router   *Router // guarded by mu
+	ready    atomic.Bool
 }
 
 // NewEntry opens the sockets of an entry.
 func NewEntry(s config.PassthroughEntry, d Deps) (*Entry, error) {
-	keys, err := s.Ring()
+	e := &Entry{settings: s, started: time.Now()}
+	err := e.setUp(&s.Passthrough, d)
 	if err != nil {
-		return nil, errors.Wrap(err, "secret")
+		return nil, err
 	}
-	e := &Entry{settings: s, deps: d, started: time.Now(), stop: lifecycle.NewStopper()}
-	e.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: s.CallerPort()}
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
-	e.counters.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.flows()) })
+	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
 		return float64(e.fleet.Config().Version)
@@ -76,14 +67,6 @@
 	return e, nil
 }
 
-// events returns the ring of changes once there is a fleet node.
-func (e *Entry) events() *explain.Ring {
-	if e.fleet == nil {
-		return nil
-	}
-	return e.fleet.Events()
-}
-
 // fillStatus tells what the entry believes.
 func (e *Entry) fillStatus(s *wire.Status) {
 	fresh := e.fleet.Fresh()
@@ -113,9 +96,6 @@
 	return time.Since(at).Milliseconds()
 }
 
-// Stop starts a graceful stop.
-func (e *Entry) Stop() { e.stop.Stop() }
-
 // Health reports whether the entry can place new flows.
 func (e *Entry) Health() (ok bool, reason string) {
 	if e.stop.Stopping() {
@@ -153,20 +133,11 @@
 	e.fleet.Leave(ctx)
 }
 
-func (e *Entry) flows() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.router.Flows()
-}
-
 func (e *Entry) configurationAge() float64 { return time.Since(e.fleet.Fresh()).Seconds() }
 
-func (e *Entry) readFailed() { e.counters.drop(dropRead) }
-
 func (e *Entry) fromCaller(_ netip.AddrPort, b []byte) {
-	s, err := e.deps.Codec.Decode(b)
-	if err != nil {
-		e.counters.drop(dropMalformed)
+	s, ok := e.packet(b)
+	if !ok {
 		return
 	}
 	e.mu.Lock()
--- a/internal/passthrough/homes.go
+++ b/internal/passthrough/homes.go
@@ -45,13 +45,19 @@
 	}
 }
 
+// known returns the flow, which is noted if it is new.
+func (r *Router) known(now time.Time, k flow.Key) *routed {
+	f := r.flows[k]
+	if f == nil {
+		f = &routed{opened: now, seen: now}
+		r.flows[k] = f
+	}
+	return f
+}
+
 func (r *Router) registered(now time.Time, m *Message) {
 	for _, p := range m.Pairs {
-		f := r.flows[p.Key]
-		if f == nil {
-			f = &routed{opened: now, seen: now}
-			r.flows[p.Key] = f
-		}
+		f := r.known(now, p.Key)
 		if f.state == stateOwned && f.owner == p.Owner {
 			continue
 		}
@@ -64,12 +70,9 @@
 
 func (r *Router) flush() {
 	for _, home := range slices.SortedFunc(maps.Keys(r.pending), flow.End.Compare) {
-		pairs := r.pending[home]
-		for len(pairs) > 0 {
-			n := min(len(pairs), maxPairs)
-			r.out.Tell(home, &Message{Kind: KindRegister, Pairs: pairs[:n]})
-			pairs = pairs[n:]
+		for pairs := range slices.Chunk(r.pending[home], maxPairs) {
+			r.out.Tell(home, &Message{Kind: KindRegister, Pairs: pairs})
 		}
-		delete(r.pending, home)
 	}
+	clear(r.pending)
 }
--- a/internal/passthrough/machine_test.go
+++ b/internal/passthrough/machine_test.go
@@ -379,7 +379,7 @@
 	c := w.open(1, routeB, func() *worldEntry { return w.entries[0] })
 	is.True(c.reset) // the configuration is known to be the latest
 	w.entries[0].router.SetFresh(w.now.Add(-2 * freshConfig))
-	w.entries[0].views.settings.Zones = nil
+	w.entries[0].views.zones = nil
 	c = &worldCaller{key: flow.KeyOf(flow.EndOf(addrOf(9, 2)), flow.EndOf(routeB))}
 	w.callers = append(w.callers, c)
 	w.send(w.entries[0], makePacket(c.key.Caller(), c.key.Route(), 1, 7, 0, 0))
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -122,7 +122,8 @@
 	return b
 }
 
-// DecodeMessage verifies and decodes a message. Packet refers to b.
+// DecodeMessage verifies and decodes a message. Packet refers to b. A caller's
+// packet that begins like a message is told apart by the MAC.
 func DecodeMessage(b []byte, keys *keyring.Ring) (Message, error) {
 	if len(b) < headSize || b[0] != messageMagic || b[offKind] == 0 || Kind(b[offKind]) >= kindEnd {
 		return Message{}, ErrMalformed
@@ -180,7 +181,3 @@
 	}
 	return nil
 }
-
-// IsMessage reports whether a datagram may be a message; packets that begin like
-// one are told apart by the MAC.
-func IsMessage(b []byte) bool { return len(b) >= headSize && b[0] == messageMagic }
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -95,11 +95,7 @@
 		m.Owner = from // the agent speaks of itself
 		r.placement.Report(now, from, m.Load)
 	}
-	f := r.flows[m.Key]
-	if f == nil {
-		f = &routed{opened: now, seen: now}
-		r.flows[m.Key] = f
-	}
+	f := r.known(now, m.Key)
 	if f.state == stateOwned && f.owner == m.Owner {
 		return
 	}
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -23,11 +23,12 @@
 // agents that went a short time ago, because an agent that restarts holds the
 // same flows as before.
 type viewBuilder struct {
-	settings *config.Passthrough
-	self     flow.End
-	owners   map[flow.End]pastOwner
-	fleet    *config.Fleet // that the past was last updated with
-	past     map[pastChoice]time.Time
+	flowMax time.Duration
+	zones   []string // in the order of their numbers, from 1
+	self    flow.End
+	owners  map[flow.End]pastOwner
+	fleet   *config.Fleet // that the past was last updated with
+	past    map[pastChoice]time.Time
 }
 
 // pastChoice is a service that an address has or had.
@@ -46,7 +47,10 @@
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
-	return &viewBuilder{settings: s, self: flow.EndOf(s.Data), owners: map[flow.End]pastOwner{}, past: map[pastChoice]time.Time{}}
+	return &viewBuilder{
+		flowMax: s.FlowMax(), zones: s.ZoneNames(), self: flow.EndOf(s.Data),
+		owners: map[flow.End]pastOwner{}, past: map[pastChoice]time.Time{},
+	}
 }
 
 func (b *viewBuilder) build(now time.Time, fleet *config.Fleet, members, departed []membership.Record) *View {
@@ -86,7 +90,7 @@
 	b.keepChoices(now, v.Fleet)
 	v.Past = make(map[netip.AddrPort][]string, len(v.Fleet.Routes))
 	for c, last := range b.past {
-		if now.Sub(last) > b.settings.FlowMax() {
+		if now.Sub(last) > b.flowMax {
 			delete(b.past, c)
 			continue
 		}
@@ -127,9 +131,17 @@
 	}
 }
 
+// zoneName returns the zone with the number, empty for an unknown one.
+func (b *viewBuilder) zoneName(id uint8) string {
+	if id == 0 || int(id) > len(b.zones) {
+		return ""
+	}
+	return b.zones[id-1]
+}
+
 // addAgent adds an agent that may take new flows.
 func (b *viewBuilder) addAgent(v *View, m *membership.Record) {
-	zone := b.settings.ZoneName(m.Zone)
+	zone := b.zoneName(m.Zone)
 	if m.State == membership.StateDraining || v.Fleet.ZonesOut[zone] {
 		return
 	}
@@ -154,7 +166,7 @@
 		case o.slots == 0 && now.Sub(o.started) > firstAnnouncement:
 			continue // it has never announced an upstream
 		}
-		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.settings.ZoneName(o.zone), Announced: o.slots > 0}
+		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0}
 		v.Asked = append(v.Asked, addr)
 	}
 	slices.SortFunc(v.Asked, flow.End.Compare)
