Keep one list of replies in a search instead of five

Cause: read of the whole change: a search held agents that answered, that denied, that have to tell, that were given the packet and that are silent, in five lists; four of them follow from what each agent said and whether it got the packet. Change: one list of replies with a state each.

--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -1,7 +1,6 @@
 package passthrough
 
 import (
-	"slices"
 	"time"
 
 	"crocusnotch/internal/config"
@@ -108,8 +107,7 @@
 	if f.state == stateSearching && len(f.held) > 0 && !f.passedTo(m.Owner) {
 		r.out.Carry(m.Owner, r.note(m.Key, flow.PurposeOwner, m.Owner), f.held)
 	}
-	f.state, f.owner, f.held, f.tried = stateOwned, m.Owner, nil, nil
-	f.heard, f.denied, f.probed, f.given, f.silent = nil, nil, nil, nil, nil
+	f.state, f.owner, f.held, f.tried, f.heard = stateOwned, m.Owner, nil, nil, nil
 	f.homes = flow.Homes{}
 	r.register(m.Key, f)
 	r.release(m.Key, f)
@@ -120,7 +118,8 @@
 	if f.stage < flow.HomeCount {
 		return f.lent
 	}
-	return slices.Contains(f.given, agent)
+	i := f.replyOf(agent)
+	return i >= 0 && f.heard[i].given
 }
 
 // release passes on what came during a search.
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -94,6 +94,22 @@
 	stateGone                        // nobody owns the flow
 )
 
+// reply is what an agent said in a search.
+type reply struct {
+	agent flow.End
+	state replyState
+	given bool // it got the packet of the search
+}
+
+type replyState uint8
+
+const (
+	replyMaybe   replyState = iota // its upstream has to tell
+	replyBarred                    // the same, but the address has not its service: it is not given the packet
+	replyOverdue                   // its upstream was given the packet, and did not return it in time
+	replyDenied                    // it does not own the flow
+)
+
 // routed is what an entry knows of one flow.
 type routed struct {
 	state  routeState
@@ -102,15 +118,11 @@
 	owner  flow.End
 	homes  flow.Homes
 	tried  []flow.End
-	asked  int        // agents that a search asked
-	heard  []flow.End // agents that answered
-	denied []flow.End // of them, those that do not own the flow
-	probed []flow.End // agents whose upstreams have to tell and were not given the packet
-	given  []flow.End // agents that were given the packet
-	silent []flow.End // of them, those that have not denied the flow
-	held   []byte     // packet that a search is made with
-	lent   bool       // the home that is asked has the packet too, and passes it on
-	queue  [][]byte   // packets that came during the search
+	asked  int      // agents that a search asked
+	heard  []reply  // of those that answered
+	held   []byte   // packet that a search is made with
+	lent   bool     // the home that is asked has the packet too, and passes it on
+	queue  [][]byte // packets that came during the search
 	seq    uint32
 	since  time.Time // start of the stage
 	opened time.Time
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -29,13 +29,12 @@
 // denied counts an agent that does not own a flow. When all have said so the
 // caller is told, so that it need not wait for its deadline.
 func (r *Router) denied(now time.Time, from flow.End, k flow.Key, f *routed) {
-	if slices.Contains(f.denied, from) {
+	a, _ := f.hear(from)
+	if a.state == replyDenied {
 		return
 	}
-	f.denied = append(f.denied, from)
-	f.hear(from)
-	f.probed, f.silent = without(f.probed, from), without(f.silent, from)
-	if len(f.denied) < f.asked {
+	a.state = replyDenied
+	if f.denials() < f.asked {
 		r.probe(now, k, f)
 		return
 	}
@@ -62,12 +61,15 @@
 // mayHold notes an agent whose upstream has to tell.
 func (r *Router) mayHold(now time.Time, from flow.End, m *Message) {
 	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount || slices.Contains(f.heard, from) {
+	if f == nil || f.state != stateSearching || f.stage != flow.HomeCount {
 		return
 	}
-	f.hear(from)
-	if r.routeHas(m.Key, r.view.Owners[from].Service) {
-		f.probed = append(f.probed, from) // others must not be given the packet
+	a, first := f.hear(from)
+	if !first {
+		return
+	}
+	if !r.routeHas(m.Key, r.view.Owners[from].Service) {
+		a.state = replyBarred
 	}
 	r.probe(now, m.Key, f)
 }
@@ -76,7 +78,8 @@
 // all agents with an upstream have answered. A missing one may be the owner, and
 // the packets would reach other upstreams only.
 func (r *Router) probe(now time.Time, k flow.Key, f *routed) {
-	if len(f.silent) == 0 {
+	waiting := func(a reply) bool { return a.state == replyMaybe && a.given }
+	if !slices.ContainsFunc(f.heard, waiting) {
 		r.probeNext(now, k, f)
 	}
 }
@@ -87,36 +90,63 @@
 // searched for, as after all processes were killed. ok is false when nobody is
 // left.
 func (r *Router) probeNext(now time.Time, k flow.Key, f *routed) (ok bool) {
-	if f.stage != flow.HomeCount || len(f.probed) == 0 || r.ownerMissing(k, f) {
+	zone, ok := r.nextZone(f)
+	if !ok || f.stage != flow.HomeCount || r.ownerMissing(k, f) {
 		return false
 	}
-	zone := r.view.Owners[f.probed[0]].Zone
-	if slices.ContainsFunc(f.probed, func(a flow.End) bool { return r.view.Owners[a].Zone == r.zone }) {
-		zone = r.zone
+	f.since = now
+	for i := range f.heard {
+		a := &f.heard[i]
+		switch {
+		case a.state != replyMaybe:
+		case a.given:
+			a.state = replyOverdue
+		case r.view.Owners[a.agent].Zone == zone:
+			a.given = true
+			r.out.Carry(a.agent, r.note(k, flow.PurposeSearch, a.agent), f.held)
+		}
 	}
-	f.since, f.silent = now, f.silent[:0]
-	rest := f.probed[:0]
-	for _, agent := range f.probed {
-		if r.view.Owners[agent].Zone != zone {
-			rest = append(rest, agent)
+	return true
+}
+
+// nextZone returns the zone whose agents get the packet next: the own one, or that
+// of the first agent that was not given it. ok is false when there is none.
+func (r *Router) nextZone(f *routed) (zone string, ok bool) {
+	for _, a := range f.heard {
+		if a.state != replyMaybe || a.given {
 			continue
 		}
-		f.given, f.silent = append(f.given, agent), append(f.silent, agent)
-		r.out.Carry(agent, r.note(k, flow.PurposeSearch, agent), f.held)
+		if z := r.view.Owners[a.agent].Zone; !ok || z == r.zone {
+			zone, ok = z, true
+		}
 	}
-	f.probed = rest
-	return true
+	return zone, ok
 }
 
-// hear notes an agent that answered a search.
-func (f *routed) hear(agent flow.End) {
-	if !slices.Contains(f.heard, agent) {
-		f.heard = append(f.heard, agent)
+// hear returns the reply of an agent; first is set for a new one.
+func (f *routed) hear(agent flow.End) (a *reply, first bool) {
+	i := f.replyOf(agent)
+	if i < 0 {
+		i, first = len(f.heard), true
+		f.heard = append(f.heard, reply{agent: agent})
 	}
+	return &f.heard[i], first
+}
+
+// replyOf returns the index of an agent's reply, -1 without one.
+func (f *routed) replyOf(agent flow.End) int {
+	return slices.IndexFunc(f.heard, func(a reply) bool { return a.agent == agent })
 }
 
-func without(list []flow.End, e flow.End) []flow.End {
-	return slices.DeleteFunc(list, func(x flow.End) bool { return x == e })
+// denials returns the number of agents that do not own the flow.
+func (f *routed) denials() int {
+	n := 0
+	for _, a := range f.heard {
+		if a.state == replyDenied {
+			n++
+		}
+	}
+	return n
 }
 
 // ownerMissing reports whether an agent that was asked and whose upstream has
@@ -127,7 +157,7 @@
 	}
 	for _, agent := range r.view.Asked {
 		o := r.view.Owners[agent]
-		if !o.Announced || slices.Contains(f.heard, agent) {
+		if !o.Announced || f.replyOf(agent) >= 0 {
 			continue
 		}
 		if len(r.view.Asked) <= searchAll || r.routeHas(k, o.Service) {
@@ -169,8 +199,7 @@
 func (r *Router) askAgents(now time.Time, k flow.Key, f *routed, except flow.End) {
 	f.since, f.stage = now, flow.HomeCount
 	all := len(r.view.Owners) <= searchAll
-	f.asked, f.heard, f.denied = 0, f.heard[:0], f.denied[:0]
-	f.probed, f.given, f.silent = f.probed[:0], f.given[:0], f.silent[:0]
+	f.asked, f.heard = 0, f.heard[:0]
 	for _, agent := range r.view.Asked {
 		if agent == except || !all && !r.routeHas(k, r.view.Owners[agent].Service) {
 			continue
