--- a/internal/passthrough/world_test.go
+++ b/internal/passthrough/world_test.go
@@ -10,6 +10,7 @@
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/membership"
 	"crocusnotch/platform"
+	"crocusnotch/platform/platformtest"
 )
 
 // world is a fleet of entries and agents with upstreams and callers, without a
@@ -436,21 +437,8 @@
 	}
 }
 
-// makePacket encodes a packet; the sum is not used by the fleet.
 func makePacket(src, dst flow.End, flags byte, seq, ack uint32, data int) []byte {
-	b := make([]byte, 36+data)
-	put32 := func(at int, v uint32) {
-		b[at], b[at+1], b[at+2], b[at+3] = byte(v>>24), byte(v>>16), byte(v>>8), byte(v)
-	}
-	put32(0, seq)
-	put32(4, ack)
-	b[8], b[9] = byte(data>>8), byte(data)
-	copy(b[18:], dst[4:])
-	copy(b[20:], dst[:4])
-	copy(b[24:], src[:4])
-	copy(b[28:], src[4:])
-	b[30] = flags
-	return b
+	return platformtest.Packet(src, dst, flags, seq, ack, make([]byte, data))
 }
 
 // send hands a packet to an entry that is up.
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,18 +21,6 @@
 	instance = 3 // entries, and agents, one of each in every zone
 )
 
-// build compiles the programs.
-func build(t *testing.T) string {
-	dir := t.TempDir()
-	for _, program := range []string{"crocus-entry", "crocus-agent"} {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../../cmd/"+program).CombinedOutput()
-		if err != nil {
-			t.Fatalf("build %s: %v\n%s", program, err, out)
-		}
-	}
-	return dir
-}
-
 // upstreams starts one upstream beside each agent.
 func (b *bench) upstreams(wg *sync.WaitGroup) {
 	for i := byte(1); i <= instance; i++ {
@@ -84,7 +70,7 @@
 		t.Skip("starts processes")
 	}
 	is := is.New(t)
-	b := newBench(t, build(t))
+	b := newBench(t, Build(t))
 	var entries, agents [instance + 1]*process
 	for i := byte(1); i <= instance; i++ {
 		entries[i] = b.startEntry(i)
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -10,6 +10,7 @@
 
 	"crocusnotch/internal/flow"
 	"crocusnotch/platform"
+	"crocusnotch/platform/platformtest"
 )
 
 // callers holds the flows of all callers behind one address.
@@ -56,15 +57,7 @@
 }
 
 func makePacket(src, dst flow.End, flags byte, seq uint32, data int) []byte {
-	b := make([]byte, headerSize, headerSize+data)
-	b[0], b[1], b[2], b[3] = byte(seq>>24), byte(seq>>16), byte(seq>>8), byte(seq)
-	b[8], b[9] = byte(data>>8), byte(data)
-	copy(b[18:], dst[4:])
-	copy(b[20:], dst[:4])
-	copy(b[24:], src[:4])
-	copy(b[28:], src[4:])
-	b[offFlags] = flags
-	return append(b, payload(&flow.Segment{Src: src, Seq: seq, Data: data})...)
+	return platformtest.Packet(src, dst, flags, seq, 0, payload(&flow.Segment{Src: src, Seq: seq, Data: data}))
 }
 
 func (c *callers) receive() {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -145,18 +145,6 @@
 	kindStore  = 4
 )
 
-func build(t *testing.T) string {
-	t.Helper()
-	bin := t.TempDir()
-	for _, program := range []string{"crocus-entry", "crocus-agent"} {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(bin, program), "../../cmd/"+program).CombinedOutput()
-		if err != nil {
-			t.Fatalf("build %s: %v\n%s", program, err, out)
-		}
-	}
-	return bin
-}
-
 func newFleet(t *testing.T, bin string) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New()}
 	f.configure()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"crocusnotch/internal/processtest"
 )
 
 const (
@@ -278,13 +280,13 @@
 // TestSoakPlanned makes planned changes only, so that every promise binds at
 // every moment. It runs in CI.
 func TestSoakPlanned(t *testing.T) {
-	soak(t, build(t), 1, shortRun, true)
+	soak(t, processtest.Build(t), 1, shortRun, true)
 }
 
 // TestSoak adds faults. CI runs one fixed seed; by hand the seeds that failed
 // once and fresh ones.
 func TestSoak(t *testing.T) {
-	bin := build(t)
+	bin := processtest.Build(t)
 	seeds, length := []uint64{7}, shortRun
 	if n, err := strconv.Atoi(os.Getenv(envSeeds)); err == nil {
 		seeds, length = regression(t), longRun
