--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -63,15 +63,15 @@
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
-	drops := counterVec("agent_datagrams_dropped_total", "Datagrams dropped, by reason.", "reason")
-	packets := counterVec("agent_packets_total", "QUIC packets, by direction.", "direction")
+	drops := telemetry.CounterVec("", "agent_datagrams_dropped_total", "Datagrams dropped, by reason.", "reason")
+	packets := telemetry.CounterVec("", "agent_packets_total", "QUIC packets, by direction.", "direction")
 	m := &metrics{
-		flows:     counterVec("agent_flows_total", "Flows, by event.", "event"),
-		refused:   counterVec("agent_flows_refused_total", "Flows refused, by reason.", "reason"),
-		requests:  counterVec("agent_requests_total", "Requests ended, by outcome and reason.", "outcome", "reason"),
-		relays:    counterVec("agent_relays_total", "Requests relayed to a peer agent, by reason.", "reason"),
-		retries:   counterVec("agent_retries_total", "Requests tried again, by reason.", "reason"),
-		loadBytes: counterVec("agent_load_bytes_total", "Bytes of load reports, by direction.", "direction"),
+		flows:     telemetry.CounterVec("", "agent_flows_total", "Flows, by event.", "event"),
+		refused:   telemetry.CounterVec("", "agent_flows_refused_total", "Flows refused, by reason.", "reason"),
+		requests:  telemetry.CounterVec("", "agent_requests_total", "Requests ended, by outcome and reason.", "outcome", "reason"),
+		relays:    telemetry.CounterVec("", "agent_relays_total", "Requests relayed to a peer agent, by reason.", "reason"),
+		retries:   telemetry.CounterVec("", "agent_retries_total", "Requests tried again, by reason.", "reason"),
+		loadBytes: telemetry.CounterVec("", "agent_load_bytes_total", "Bytes of load reports, by direction.", "direction"),
 	}
 	r.MustRegister(drops, packets, m.flows, m.refused, m.requests, m.relays, m.retries, m.loadBytes)
 	m.socket = socketMetrics{
@@ -114,9 +114,3 @@
 		dropOwner, dropFormer, dropPaths, dropNoPath, dropSend, dropLoad,
 	}
 }
-
-func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: telemetry.Namespace, Name: name, Help: help,
-	}, labels)
-}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -21,11 +21,11 @@
 
 func newMetrics(r *prometheus.Registry) *metrics {
 	m := &metrics{
-		messages:      counters("messages_total", "Membership messages by direction and kind.", "direction", "kind"),
-		dropped:       counters("dropped_total", "Membership messages dropped by reason.", "reason"),
-		changes:       counters("changes_total", "Changes of members by new state and cause.", "state", "cause"),
-		storeErrors:   counters("store_errors_total", "Failed calls to the store by purpose.", "purpose"),
-		joins:         counters("joins_total", "Searches for peers by result.", "result"),
+		messages:      telemetry.CounterVec(subsystem, "messages_total", "Membership messages by direction and kind.", "direction", "kind"),
+		dropped:       telemetry.CounterVec(subsystem, "dropped_total", "Membership messages dropped by reason.", "reason"),
+		changes:       telemetry.CounterVec(subsystem, "changes_total", "Changes of members by new state and cause.", "state", "cause"),
+		storeErrors:   telemetry.CounterVec(subsystem, "store_errors_total", "Failed calls to the store by purpose.", "purpose"),
+		joins:         telemetry.CounterVec(subsystem, "joins_total", "Searches for peers by result.", "result"),
 		rosterWrites:  counter("roster_writes_total", "Writes of the zone's roster."),
 		configRefused: counter("config_refused_total", "Configuration objects refused."),
 	}
@@ -35,12 +35,6 @@
 	return m
 }
 
-func counters(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-	}, labels)
-}
-
 func counter(name, help string) prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
--- a/internal/passthrough/journal.go
+++ b/internal/passthrough/journal.go
@@ -29,8 +29,8 @@
 func newCounters(r *prometheus.Registry) *counters {
 	c := &counters{
 		registry:  r,
-		decisions: counterVec("decisions_total", "Decisions about flows by kind and reason.", "decision", "reason"),
-		dropped:   counterVec("dropped_total", "Datagrams dropped by reason.", "reason"),
+		decisions: telemetry.CounterVec(subsystem, "decisions_total", "Decisions about flows by kind and reason.", "decision", "reason"),
+		dropped:   telemetry.CounterVec(subsystem, "dropped_total", "Datagrams dropped by reason.", "reason"),
 		placement: histogram("placement_seconds", "Time from a flow's first packet here until its owner is known."),
 		answers:   histogram("answer_seconds", "Time from a request to the first packet of its answer."),
 	}
@@ -40,12 +40,6 @@
 	return c
 }
 
-func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help,
-	}, labels)
-}
-
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: latencyBuckets,
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -6,6 +6,9 @@
 	"crocusnotch/internal/telemetry"
 )
 
+// subsystem is part of the names of the metrics.
+const subsystem = "store"
+
 type metrics struct {
 	calls   *prometheus.CounterVec
 	retries *prometheus.CounterVec
@@ -22,7 +25,7 @@
 		retries: storeCounter("retries_total", "Repeated calls to the platform's store by method and reason.", "reason"),
 	}
 	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: telemetry.Namespace, Subsystem: "store", Name: "call_seconds",
+		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "call_seconds",
 		Help: "Duration of calls to the platform's store by method, waiting included.", Buckets: callBuckets,
 	}, []string{"method"})
 	if r != nil {
@@ -32,8 +35,7 @@
 }
 
 func storeCounter(name, help, label string) *prometheus.CounterVec {
-	opts := prometheus.CounterOpts{Namespace: telemetry.Namespace, Subsystem: "store", Name: name, Help: help}
-	return prometheus.NewCounterVec(opts, []string{"method", label})
+	return telemetry.CounterVec(subsystem, name, help, "method", label)
 }
 
 func (m *metrics) call(method, result string) { m.calls.WithLabelValues(method, result).Inc() }
--- a/internal/telemetry/server.go
+++ b/internal/telemetry/server.go
@@ -35,6 +35,13 @@
 	return r
 }
 
+// CounterVec returns a counter with labels. The subsystem may be empty.
+func CounterVec(subsystem, name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: Namespace, Subsystem: subsystem, Name: name, Help: help,
+	}, labels)
+}
+
 // Serve answers /metrics and /healthz on the listener until ctx ends.
 func Serve(ctx context.Context, l net.Listener, r *prometheus.Registry, health Health) error {
 	mux := http.NewServeMux()
