Query all agents before a flow is reset in a large fleet

Cause: above 64 agents a search queried only the agents of the services that the entry knew the route to have had. Now the agents of the route's services come first, and all others, in shared datagrams, before a reset. Above 2,048 agents the search ends without a reset.

Shown by TestLateEntryFindsFlowOfFormerService, which fails on the earlier code at 66 and 201 agents (an entry reset a flow whose upstream is running), and TestUnownedFlowIsResetInLargeFleet (134 of 201 agents queried before).

--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -29,9 +29,13 @@
 	// lastCopyNumber is the number of the last copy that a caller sends of an
 	// opening packet.
 	lastCopyNumber = 2
-	// searchAllLimit is the number of agents up to which all are queried for a flow;
-	// in larger fleets only those of the services of its route are.
+	// searchAllLimit is the number of agents up to which all are queried for a flow at
+	// once; in larger fleets those of the services of its route are queried first.
 	searchAllLimit = 64
+	// searchProofLimit is the number of agents up to which all are queried before a
+	// flow is reset. Queries to more would take over 100 KB for one flow; its caller
+	// waits for its deadline instead.
+	searchProofLimit = 2048
 	// verifiedConfigAge is the time since the last verification of the
 	// configuration up to which an address that is not in it is known to have no
 	// route.
@@ -123,6 +127,7 @@
 	replicas         flow.Replicas
 	tried            []flow.Endpoint
 	queried          int       // number of agents that the search queried
+	queriedAll       bool      // all agents were queried, not only those of the services of the route
 	replies          []reply   // of the agents that answered
 	searchPacket     []byte    // packet that started the search
 	replicaHasPacket bool      // the queried replica received the packet too, and forwards it to the owner
@@ -304,9 +309,7 @@
 		if r.probeNext(now, k, f) {
 			continue
 		}
-		r.report(Decision{Kind: DecisionNotFound, Key: k, Age: now.Sub(f.openedAt)})
-		delete(r.searching, k)
-		f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
+		r.abandonSearch(now, k, f, "")
 	}
 	r.flushRegistrations()
 	r.flushQueries(now)
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -22,13 +22,13 @@
 	r.report(Decision{Kind: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.openedAt)})
 	f.owner = flow.Endpoint{}
 	f.searchPacket = append(f.searchPacket[:0], m.Packet...)
-	f.state, f.stage = stateSearching, flow.ReplicaCount
+	f.state = stateSearching
 	r.searching[m.Key] = f
 	r.queryAgents(now, m.Key, f, from)
 }
 
-// handleDenied records an agent that does not own a flow. When all queried agents
-// have denied it, the flow is reset, so that its caller need not wait for a deadline.
+// handleDenied records an agent that does not own a flow. When all agents have denied
+// it, the flow is reset, so that its caller need not wait for a deadline.
 func (r *Router) handleDenied(now time.Time, from flow.Endpoint, k flow.Key, f *routedFlow) {
 	a, _ := f.replyFrom(from)
 	if a.state == replyDenied {
@@ -39,6 +39,10 @@
 		r.probe(now, k, f)
 		return
 	}
+	if !f.queriedAll {
+		r.queryOtherAgents(now, k, f)
+		return
+	}
 	delete(r.searching, k)
 	if !r.agentsSettled(now) {
 		// Queries the agents again when their set is complete.
@@ -162,7 +166,7 @@
 		if !o.Announced || f.replyIndex(agent) >= 0 {
 			continue
 		}
-		if len(r.view.OwnerAddrs) <= searchAllLimit || r.routeHasService(k, o.Service) {
+		if f.queriedAll || r.routeHasService(k, o.Service) {
 			return true
 		}
 	}
@@ -197,20 +201,54 @@
 	r.queryAgents(now, k, f, flow.Endpoint{})
 }
 
-// queryAgents queries all agents that may own the flow, except one.
+// queryAgents queries the agents that probably own the flow: those of the services of
+// its route, or all in a small fleet. except is an agent that is known not to own it,
+// or zero.
 func (r *Router) queryAgents(now time.Time, k flow.Key, f *routedFlow, except flow.Endpoint) {
 	f.stageStart, f.stage = now, flow.ReplicaCount
-	all := len(r.view.Owners) <= searchAllLimit
+	f.queriedAll = len(r.view.Owners) <= searchAllLimit
 	f.queried, f.replies = 0, f.replies[:0]
+	if !except.IsZero() {
+		f.queried, f.replies = 1, append(f.replies, reply{agent: except, state: replyDenied})
+	}
 	for _, agent := range r.view.OwnerAddrs {
-		if agent == except || !all && !r.routeHasService(k, r.view.Owners[agent].Service) {
-			continue
+		if agent != except && (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) {
+			f.queried++
+			r.queryAgent(agent, k, f)
 		}
-		f.queried++
-		r.queryAgent(agent, k, f)
 	}
 	r.searchesInTick++
 	r.report(Decision{Kind: DecisionSearch, Key: k, Tries: f.queried})
+	if f.queried == 0 {
+		r.queryOtherAgents(now, k, f)
+	}
+}
+
+// queryOtherAgents queries the agents that queryAgents left out, once all others have
+// denied the flow. The route may have had other services when the flow was opened,
+// which an entry that started later cannot know. In a fleet with more agents than
+// searchProofLimit the search ends without a result.
+func (r *Router) queryOtherAgents(now time.Time, k flow.Key, f *routedFlow) {
+	if len(r.view.Owners) > searchProofLimit {
+		r.abandonSearch(now, k, f, "too-many-agents")
+		return
+	}
+	f.stageStart, f.queriedAll = now, true
+	for _, agent := range r.view.OwnerAddrs {
+		if f.replyIndex(agent) < 0 {
+			f.queried++
+			r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
+		}
+	}
+	r.report(Decision{Kind: DecisionSearch, Reason: "other-services", Key: k, Tries: f.queried})
+}
+
+// abandonSearch ends a search that found neither an owner nor the proof that there is
+// none. The next packet of the flow may start another search.
+func (r *Router) abandonSearch(now time.Time, k flow.Key, f *routedFlow, reason string) {
+	r.report(Decision{Kind: DecisionNotFound, Reason: reason, Key: k, Age: now.Sub(f.openedAt)})
+	delete(r.searching, k)
+	f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
 }
 
 // queryAgent queries an agent whether it owns the flow, immediately or at the next
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -1,11 +1,14 @@
 package passthrough
 
 import (
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"crocusnotch/internal/config"
 	"crocusnotch/internal/flow"
 )
 
@@ -177,3 +180,46 @@
 		})
 	}
 }
+
+// An entry that starts after a change of a route's service doesn't know the earlier
+// one. A flow that was opened before the change must survive when every entry that
+// knew its owner is replaced, at any number of agents (scenario add_nodes or
+// roll_term after config_change skew).
+func TestLateEntryFindsFlowOfFormerService(t *testing.T) {
+	for _, agents := range []int{63, 66, 201} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t.Fatalf, 3, agents)
+			c := sim.open(1, routeA, func() *simEntry { return sim.entries[0] })
+			is.True(c.open)
+			changed := *sim.fleet
+			changed.Routes = maps.Clone(sim.fleet.Routes)
+			changed.Routes[routeA] = &config.Route{Name: "a", Address: routeA, Choices: []config.Choice{{Service: "beta", Weight: 1}}}
+			sim.fleet = &changed
+			for _, e := range sim.entries {
+				e.start()
+			}
+			sim.syncViews()
+			sim.advance(time.Second) // the agents have settled
+			sim.request(c, sim.entries[0])
+			sim.advance(200 * time.Millisecond)
+			is.True(!c.reset)
+			is.Equal(sim.entries[0].router.flows[c.key].owner, sim.agentOf(c).addr)
+		})
+	}
+}
+
+// A flow that no agent owns is reset in a fleet of several services, after all of
+// their agents have denied it.
+func TestUnownedFlowIsResetInLargeFleet(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 2, 201)
+	sim.advance(time.Second)
+	e := sim.entries[0]
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
+	sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+	sim.deliverAll()
+	sim.advance(4 * tickPeriod)
+	is.Equal(e.router.flows[k].state, stateUnowned)
+	is.Equal(e.router.flows[k].queried, 201)
+}
