Keep a search's packets until agents that start or don't answer have been asked

One agent's machine (its upstream had left before) came back for half a second and then answered nothing, so each search ended without a result after 60 ms and dropped the caller's packet, which was its last before the deadline. Searches that all agents had denied were repeated from the start 0.5 s later, when that agent no longer answered. Ruled out: slow starts (entries ready 50 to 175 ms after their start).

Now a search keeps its packets for 2 s after the caller's last one, queries agents that have not answered again when one starts or after 300 ms, and keeps denials: an agent does not come to own a flow that is open elsewhere. An agent receives the packet at most once a second.

Shown by TestPacketWaitsForStartingOwner (11, 62, 195 agents) and TestResetFollowsRemovalOfSilentAgent, which fail on the earlier code.

--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -47,10 +47,13 @@
 	// set of agents as complete: a restarting agent is back sooner.
 	agentSettleTime = 500 * time.Millisecond
 	// waitingSearchTTL is how long after the last packet of a flow its search waits
-	// for the set of agents to be complete.
+	// for agents.
 	waitingSearchTTL = 2 * time.Second
+	// probeInterval is the shortest time between two copies of a search's packet to
+	// one agent.
+	probeInterval = time.Second
 	// stageAwaitAgents is the stage of a search that waits for the set of agents to
-	// be complete.
+	// be complete, or for agents that have not answered.
 	stageAwaitAgents = flow.ReplicaCount + 1
 	// closedFlowTTL is how long a flow is kept after its idle timeout.
 	closedFlowTTL = 2 * time.Second
@@ -77,7 +80,8 @@
 	Zone    string
 	// Announced reports whether its upstream has announced itself to this process
 	// of the agent.
-	Announced bool
+	Announced   bool
+	Incarnation uint64
 }
 
 // Outbox sends the packets and messages of a Router.
@@ -134,6 +138,7 @@
 	queued           [][]byte  // packets received during the search
 	resetSeq         uint32    // sequence number for a reset of the flow
 	stageStart       time.Time // start of the placement or of the stage of the search
+	probedAt         time.Time // when agents last received the packet of the search
 	openedAt         time.Time
 	lastSeen         time.Time
 }
@@ -155,6 +160,7 @@
 	maxAge               time.Duration
 	verifiedAt           time.Time
 	agentsChanged        time.Time // when the last new agent was added to the view
+	agentStartedAt       time.Time // when the last new or restarted agent was added to the view
 	lastSweep            time.Time
 }
 
@@ -186,9 +192,7 @@
 // registered with their new replicas.
 func (r *Router) SetView(now time.Time, v *View) {
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
-	if slices.ContainsFunc(v.OwnerAddrs, func(a flow.Endpoint) bool { _, known := r.view.Owners[a]; return !known }) {
-		r.agentsChanged = now
-	}
+	r.recordStartedAgents(now, v)
 	r.view = v
 	if !entriesChanged {
 		return
@@ -200,6 +204,20 @@
 	}
 }
 
+// recordStartedAgents records whether the new view has agents that the current one
+// lacks, or that have restarted.
+func (r *Router) recordStartedAgents(now time.Time, v *View) {
+	for _, a := range v.OwnerAddrs {
+		before, known := r.view.Owners[a]
+		if !known {
+			r.agentsChanged = now
+		}
+		if !known || before.Incarnation != v.Owners[a].Incarnation {
+			r.agentStartedAt = now
+		}
+	}
+}
+
 // Packet routes one packet of a caller.
 func (r *Router) Packet(now time.Time, s *flow.Segment, packet []byte) {
 	k := s.KeyFromCaller()
@@ -295,7 +313,7 @@
 	for _, k := range sortedKeys(r.searching) {
 		f := r.searching[k]
 		if f.stage == stageAwaitAgents {
-			r.resumeSearch(now, k, f)
+			r.awaitAgents(now, k, f)
 			continue
 		}
 		if now.Sub(f.stageStart) < lookupTimeout {
@@ -309,7 +327,8 @@
 		if r.probeNext(now, k, f) {
 			continue
 		}
-		r.abandonSearch(now, k, f, "")
+		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
+		f.stage = stageAwaitAgents
 	}
 	r.flushRegistrations()
 	r.flushQueries(now)
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -12,7 +12,7 @@
 // to a search, or the start of one if the agent was the flow's owner.
 func (r *Router) handleNotHeld(now time.Time, from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
-	if f != nil && f.state == stateSearching && f.stage == flow.ReplicaCount {
+	if f != nil && f.state == stateSearching && f.stage >= flow.ReplicaCount {
 		r.handleDenied(now, from, m.Key, f)
 		return
 	}
@@ -43,14 +43,17 @@
 		r.queryOtherAgents(now, k, f)
 		return
 	}
-	delete(r.searching, k)
 	if !r.agentsSettled(now) {
-		// Queries the agents again when their set is complete.
-		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		f.stage = stageAwaitAgents
-		r.searching[k] = f
+		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		return
 	}
+	r.concludeUnowned(k, f)
+}
+
+// concludeUnowned resets a flow that all agents denied.
+func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
+	delete(r.searching, k)
 	f.searchPacket, f.queued = nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state = stateUnowned
@@ -100,7 +103,7 @@
 	if !ok || f.stage != flow.ReplicaCount || r.ownerReplyMissing(k, f) {
 		return false
 	}
-	f.stageStart = now
+	f.stageStart, f.probedAt = now, now
 	for i := range f.replies {
 		a := &f.replies[i]
 		switch {
@@ -304,15 +307,52 @@
 	r.queryNextReplica(now, m.Key, f)
 }
 
-// resumeSearch repeats the search for a flow that all agents denied before their set
-// was complete.
-func (r *Router) resumeSearch(now time.Time, k flow.Key, f *routedFlow) {
+// awaitAgents handles a search in which agents have not answered, or whose set of
+// agents is not complete yet, such as after a loss of power: the packets are kept, and
+// agents that have not answered are queried again. Denials stay valid, since an agent
+// does not come to own a flow that is open elsewhere.
+func (r *Router) awaitAgents(now time.Time, k flow.Key, f *routedFlow) {
 	if now.Sub(f.lastSeen) > waitingSearchTTL {
-		delete(r.searching, k)
-		f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
+		r.abandonSearch(now, k, f, "")
 		return
 	}
-	if r.agentsSettled(now) {
-		r.queryAgents(now, k, f, flow.Endpoint{})
+	unanswered := r.agentsWithoutReply(f)
+	switch {
+	case len(unanswered) == 0 && r.agentsSettled(now):
+		r.concludeUnowned(k, f)
+	case len(unanswered) > 0 && (!r.agentStartedAt.Before(f.stageStart) || now.Sub(f.stageStart) >= searchInterval):
+		r.queryAgain(now, k, f, unanswered)
+	}
+}
+
+// agentsWithoutReply returns the agents that may own the flow and have not denied it.
+func (r *Router) agentsWithoutReply(f *routedFlow) []flow.Endpoint {
+	var out []flow.Endpoint
+	for _, agent := range r.view.OwnerAddrs {
+		if i := f.replyIndex(agent); i < 0 || f.replies[i].state != replyDenied {
+			out = append(out, agent)
+		}
+	}
+	return out
+}
+
+// queryAgain queries agents that have not denied the flow once more. Those that
+// received the packet shortly before do not receive it again: three packets at wrong
+// upstreams within two seconds count as a broken flow.
+func (r *Router) queryAgain(now time.Time, k flow.Key, f *routedFlow, agents []flow.Endpoint) {
+	recent := now.Sub(f.probedAt) < probeInterval
+	f.replies = slices.DeleteFunc(f.replies, func(a reply) bool {
+		return a.state != replyDenied && !(a.hasPacket && recent)
+	})
+	for i := range f.replies {
+		if f.replies[i].state != replyDenied {
+			f.replies[i].state = replyProbeTimeout
+		}
+	}
+	f.stageStart, f.stage, f.queriedAll = now, flow.ReplicaCount, true
+	f.queried = len(agents) + f.denials()
+	for _, agent := range agents {
+		r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
 	}
+	r.report(Decision{Kind: DecisionSearch, Reason: "unanswered", Key: k, Tries: len(agents)})
 }
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -223,3 +224,57 @@
 	is.Equal(e.router.flows[k].state, stateUnowned)
 	is.Equal(e.router.flows[k].queried, 201)
 }
+
+// After a loss of power (scenario power_off_all) the last packet that a caller sends
+// before its deadline arrives while agents are still starting. It must reach the
+// owner when that comes back, without another packet of the caller.
+func TestPacketWaitsForStartingOwner(t *testing.T) {
+	for _, agents := range []int{11, 62, 195} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t.Fatalf, 3, agents)
+			e := sim.entries[0]
+			c := sim.open(1, routeA, func() *simEntry { return e })
+			owner := sim.agentOf(c)
+			sim.restartAllProcesses()
+			owner.up = false
+			sim.syncViews()
+			sim.request(c, e)
+			is.True(c.undelivered > 0)
+			sim.advance(300 * time.Millisecond)
+			owner.start()
+			owner.upstream.sequence += laterSequence
+			owner.announce()
+			sim.syncViews()
+			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
+			is.Equal(c.undelivered, 0)
+			is.True(!c.reset)
+		})
+	}
+}
+
+// A machine whose upstream has left comes back for a moment after a loss of power
+// (scenario scale_in before power_off_all) and never answers again. Flows that all
+// other agents denied are reset as soon as it no longer counts as an owner: the
+// earlier denials stay valid and no further packet of the caller is needed.
+func TestResetFollowsRemovalOfSilentAgent(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 2, 30)
+	sim.advance(time.Second)
+	silent := sim.agents[4]
+	silent.removed = true
+	e := sim.entries[0]
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
+	sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+	sim.deliverAll()
+	sim.advance(700 * time.Millisecond)
+	is.Equal(e.router.flows[k].state, stateSearching)
+	is.Equal(e.router.flows[k].denials(), 29)
+	v := *e.router.view
+	v.Owners = maps.Clone(v.Owners)
+	delete(v.Owners, silent.addr)
+	v.OwnerAddrs = slices.DeleteFunc(slices.Clone(v.OwnerAddrs), func(a flow.Endpoint) bool { return a == silent.addr })
+	e.router.SetView(sim.now, &v)
+	sim.advance(2 * tickPeriod)
+	is.Equal(e.router.flows[k].state, stateUnowned)
+}
--- a/internal/passthrough/world_test.go
+++ b/internal/passthrough/world_test.go
@@ -176,6 +176,7 @@
 	r := membership.Record{
 		Addr: a.addr.AddrPort(), Role: membership.RoleAgent, Service: config.ServiceID(a.service),
 		State: memberState(a.tracker.State(a.sim.now)), Slots: uint16(a.tracker.Last().Slots),
+		Incarnation: uint64(a.tracker.Started.UnixMilli()),
 	}
 	for i, z := range zoneNames {
 		if z == a.zone {
