--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -29,9 +29,13 @@
 	// lastCopyNumber is the number of the last copy that a caller sends of an
 	// opening packet.
 	lastCopyNumber = 2
-	// searchAllLimit is the number of agents up to which all are queried for a flow;
-	// in larger fleets only those of the services of its route are.
+	// searchAllLimit is the number of agents up to which all are queried for a flow at
+	// once; in larger fleets those of the services of its route are queried first.
 	searchAllLimit = 64
+	// searchProofLimit is the number of agents up to which all are queried before a
+	// flow is reset. Queries to more would take over 100 KB for one flow; its caller
+	// waits for its deadline instead.
+	searchProofLimit = 2048
 	// verifiedConfigAge is the time since the last verification of the
 	// configuration up to which an address that is not in it is known to have no
 	// route.
@@ -43,10 +47,13 @@
 	// set of agents as complete: a restarting agent is back sooner.
 	agentSettleTime = 500 * time.Millisecond
 	// waitingSearchTTL is how long after the last packet of a flow its search waits
-	// for the set of agents to be complete.
+	// for agents.
 	waitingSearchTTL = 2 * time.Second
+	// probeInterval is the shortest time between two copies of a search's packet to
+	// one agent.
+	probeInterval = time.Second
 	// stageAwaitAgents is the stage of a search that waits for the set of agents to
-	// be complete.
+	// be complete, or for agents that have not answered.
 	stageAwaitAgents = flow.ReplicaCount + 1
 	// closedFlowTTL is how long a flow is kept after its idle timeout.
 	closedFlowTTL = 2 * time.Second
@@ -73,7 +80,8 @@
 	Zone    string
 	// Announced reports whether its upstream has announced itself to this process
 	// of the agent.
-	Announced bool
+	Announced   bool
+	Incarnation uint64
 }
 
 // Outbox sends the packets and messages of a Router.
@@ -123,12 +131,14 @@
 	replicas         flow.Replicas
 	tried            []flow.Endpoint
 	queried          int       // number of agents that the search queried
+	queriedAll       bool      // all agents were queried, not only those of the services of the route
 	replies          []reply   // of the agents that answered
 	searchPacket     []byte    // packet that started the search
 	replicaHasPacket bool      // the queried replica received the packet too, and forwards it to the owner
 	queued           [][]byte  // packets received during the search
 	resetSeq         uint32    // sequence number for a reset of the flow
 	stageStart       time.Time // start of the placement or of the stage of the search
+	probedAt         time.Time // when agents last received the packet of the search
 	openedAt         time.Time
 	lastSeen         time.Time
 }
@@ -150,6 +160,7 @@
 	maxAge               time.Duration
 	verifiedAt           time.Time
 	agentsChanged        time.Time // when the last new agent was added to the view
+	agentStartedAt       time.Time // when the last new or restarted agent was added to the view
 	lastSweep            time.Time
 }
 
@@ -181,9 +192,7 @@
 // registered with their new replicas.
 func (r *Router) SetView(now time.Time, v *View) {
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
-	if slices.ContainsFunc(v.OwnerAddrs, func(a flow.Endpoint) bool { _, known := r.view.Owners[a]; return !known }) {
-		r.agentsChanged = now
-	}
+	r.recordStartedAgents(now, v)
 	r.view = v
 	if !entriesChanged {
 		return
@@ -195,6 +204,20 @@
 	}
 }
 
+// recordStartedAgents records whether the new view has agents that the current one
+// lacks, or that have restarted.
+func (r *Router) recordStartedAgents(now time.Time, v *View) {
+	for _, a := range v.OwnerAddrs {
+		before, known := r.view.Owners[a]
+		if !known {
+			r.agentsChanged = now
+		}
+		if !known || before.Incarnation != v.Owners[a].Incarnation {
+			r.agentStartedAt = now
+		}
+	}
+}
+
 // Packet routes one packet of a caller.
 func (r *Router) Packet(now time.Time, s *flow.Segment, packet []byte) {
 	k := s.KeyFromCaller()
@@ -290,7 +313,7 @@
 	for _, k := range sortedKeys(r.searching) {
 		f := r.searching[k]
 		if f.stage == stageAwaitAgents {
-			r.resumeSearch(now, k, f)
+			r.awaitAgents(now, k, f)
 			continue
 		}
 		if now.Sub(f.stageStart) < lookupTimeout {
@@ -304,9 +327,8 @@
 		if r.probeNext(now, k, f) {
 			continue
 		}
-		r.report(Decision{Kind: DecisionNotFound, Key: k, Age: now.Sub(f.openedAt)})
-		delete(r.searching, k)
-		f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
+		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
+		f.stage = stageAwaitAgents
 	}
 	r.flushRegistrations()
 	r.flushQueries(now)
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -12,7 +12,7 @@
 // to a search, or the start of one if the agent was the flow's owner.
 func (r *Router) handleNotHeld(now time.Time, from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
-	if f != nil && f.state == stateSearching && f.stage == flow.ReplicaCount {
+	if f != nil && f.state == stateSearching && f.stage >= flow.ReplicaCount {
 		r.handleDenied(now, from, m.Key, f)
 		return
 	}
@@ -22,13 +22,13 @@
 	r.report(Decision{Kind: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.openedAt)})
 	f.owner = flow.Endpoint{}
 	f.searchPacket = append(f.searchPacket[:0], m.Packet...)
-	f.state, f.stage = stateSearching, flow.ReplicaCount
+	f.state = stateSearching
 	r.searching[m.Key] = f
 	r.queryAgents(now, m.Key, f, from)
 }
 
-// handleDenied records an agent that does not own a flow. When all queried agents
-// have denied it, the flow is reset, so that its caller need not wait for a deadline.
+// handleDenied records an agent that does not own a flow. When all agents have denied
+// it, the flow is reset, so that its caller need not wait for a deadline.
 func (r *Router) handleDenied(now time.Time, from flow.Endpoint, k flow.Key, f *routedFlow) {
 	a, _ := f.replyFrom(from)
 	if a.state == replyDenied {
@@ -39,14 +39,21 @@
 		r.probe(now, k, f)
 		return
 	}
-	delete(r.searching, k)
+	if !f.queriedAll {
+		r.queryOtherAgents(now, k, f)
+		return
+	}
 	if !r.agentsSettled(now) {
-		// Queries the agents again when their set is complete.
-		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		f.stage = stageAwaitAgents
-		r.searching[k] = f
+		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		return
 	}
+	r.concludeUnowned(k, f)
+}
+
+// concludeUnowned resets a flow that all agents denied.
+func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
+	delete(r.searching, k)
 	f.searchPacket, f.queued = nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state = stateUnowned
@@ -96,7 +103,7 @@
 	if !ok || f.stage != flow.ReplicaCount || r.ownerReplyMissing(k, f) {
 		return false
 	}
-	f.stageStart = now
+	f.stageStart, f.probedAt = now, now
 	for i := range f.replies {
 		a := &f.replies[i]
 		switch {
@@ -162,7 +169,7 @@
 		if !o.Announced || f.replyIndex(agent) >= 0 {
 			continue
 		}
-		if len(r.view.OwnerAddrs) <= searchAllLimit || r.routeHasService(k, o.Service) {
+		if f.queriedAll || r.routeHasService(k, o.Service) {
 			return true
 		}
 	}
@@ -197,20 +204,54 @@
 	r.queryAgents(now, k, f, flow.Endpoint{})
 }
 
-// queryAgents queries all agents that may own the flow, except one.
+// queryAgents queries the agents that probably own the flow: those of the services of
+// its route, or all in a small fleet. except is an agent that is known not to own it,
+// or zero.
 func (r *Router) queryAgents(now time.Time, k flow.Key, f *routedFlow, except flow.Endpoint) {
 	f.stageStart, f.stage = now, flow.ReplicaCount
-	all := len(r.view.Owners) <= searchAllLimit
+	f.queriedAll = len(r.view.Owners) <= searchAllLimit
 	f.queried, f.replies = 0, f.replies[:0]
+	if !except.IsZero() {
+		f.queried, f.replies = 1, append(f.replies, reply{agent: except, state: replyDenied})
+	}
 	for _, agent := range r.view.OwnerAddrs {
-		if agent == except || !all && !r.routeHasService(k, r.view.Owners[agent].Service) {
-			continue
+		if agent != except && (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) {
+			f.queried++
+			r.queryAgent(agent, k, f)
 		}
-		f.queried++
-		r.queryAgent(agent, k, f)
 	}
 	r.searchesInTick++
 	r.report(Decision{Kind: DecisionSearch, Key: k, Tries: f.queried})
+	if f.queried == 0 {
+		r.queryOtherAgents(now, k, f)
+	}
+}
+
+// queryOtherAgents queries the agents that queryAgents left out, once all others have
+// denied the flow. The route may have had other services when the flow was opened,
+// which an entry that started later cannot know. In a fleet with more agents than
+// searchProofLimit the search ends without a result.
+func (r *Router) queryOtherAgents(now time.Time, k flow.Key, f *routedFlow) {
+	if len(r.view.Owners) > searchProofLimit {
+		r.abandonSearch(now, k, f, "too-many-agents")
+		return
+	}
+	f.stageStart, f.queriedAll = now, true
+	for _, agent := range r.view.OwnerAddrs {
+		if f.replyIndex(agent) < 0 {
+			f.queried++
+			r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
+		}
+	}
+	r.report(Decision{Kind: DecisionSearch, Reason: "other-services", Key: k, Tries: f.queried})
+}
+
+// abandonSearch ends a search that found neither an owner nor the proof that there is
+// none. The next packet of the flow may start another search.
+func (r *Router) abandonSearch(now time.Time, k flow.Key, f *routedFlow, reason string) {
+	r.report(Decision{Kind: DecisionNotFound, Reason: reason, Key: k, Age: now.Sub(f.openedAt)})
+	delete(r.searching, k)
+	f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
 }
 
 // queryAgent queries an agent whether it owns the flow, immediately or at the next
@@ -266,15 +307,52 @@
 	r.queryNextReplica(now, m.Key, f)
 }
 
-// resumeSearch repeats the search for a flow that all agents denied before their set
-// was complete.
-func (r *Router) resumeSearch(now time.Time, k flow.Key, f *routedFlow) {
+// awaitAgents handles a search in which agents have not answered, or whose set of
+// agents is not complete yet, such as after a loss of power: the packets are kept, and
+// agents that have not answered are queried again. Denials stay valid, since an agent
+// does not come to own a flow that is open elsewhere.
+func (r *Router) awaitAgents(now time.Time, k flow.Key, f *routedFlow) {
 	if now.Sub(f.lastSeen) > waitingSearchTTL {
-		delete(r.searching, k)
-		f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
+		r.abandonSearch(now, k, f, "")
 		return
 	}
-	if r.agentsSettled(now) {
-		r.queryAgents(now, k, f, flow.Endpoint{})
+	unanswered := r.agentsWithoutReply(f)
+	switch {
+	case len(unanswered) == 0 && r.agentsSettled(now):
+		r.concludeUnowned(k, f)
+	case len(unanswered) > 0 && (!r.agentStartedAt.Before(f.stageStart) || now.Sub(f.stageStart) >= searchInterval):
+		r.queryAgain(now, k, f, unanswered)
+	}
+}
+
+// agentsWithoutReply returns the agents that may own the flow and have not denied it.
+func (r *Router) agentsWithoutReply(f *routedFlow) []flow.Endpoint {
+	var out []flow.Endpoint
+	for _, agent := range r.view.OwnerAddrs {
+		if i := f.replyIndex(agent); i < 0 || f.replies[i].state != replyDenied {
+			out = append(out, agent)
+		}
+	}
+	return out
+}
+
+// queryAgain queries agents that have not denied the flow once more. Those that
+// received the packet shortly before do not receive it again: three packets at wrong
+// upstreams within two seconds count as a broken flow.
+func (r *Router) queryAgain(now time.Time, k flow.Key, f *routedFlow, agents []flow.Endpoint) {
+	recent := now.Sub(f.probedAt) < probeInterval
+	f.replies = slices.DeleteFunc(f.replies, func(a reply) bool {
+		return a.state != replyDenied && !(a.hasPacket && recent)
+	})
+	for i := range f.replies {
+		if f.replies[i].state != replyDenied {
+			f.replies[i].state = replyProbeTimeout
+		}
+	}
+	f.stageStart, f.stage, f.queriedAll = now, flow.ReplicaCount, true
+	f.queried = len(agents) + f.denials()
+	for _, agent := range agents {
+		r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
 	}
+	r.report(Decision{Kind: DecisionSearch, Reason: "unanswered", Key: k, Tries: len(agents)})
 }
