Survive a store that is restored from a copy

Cause: a revision alone was an object's identity. After a restore the store gives out lower revisions again, so the fleet ignored what the operator wrote again until the store had passed the lost revision, took an older configuration's objects as deleted or new, and rosters stayed lost for up to 22 s.

Revisions now contain the store's era (Store-Era) in their high bits and compare as pairs everywhere; only the store client splits them. A late answer of an older era is dropped, a watch or a conditional write across a restore is refused. Objects that the copy lacks, and revisions that had been superseded, are held back for 10 s, in which operators write again.

--- a/cmd/crocusctl/commands.go
+++ b/cmd/crocusctl/commands.go
@@ -131,7 +131,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "%d of %d changes made; %s %s failed", i, len(changes), change.ID.Kind, change.ID.Name)
 		}
-		fmt.Printf("  in the store at revision %d\n", o.Revision)
+		fmt.Printf("  in the store at revision %s\n", config.FormatRevision(o.Revision))
 	}
 	return nil
 }
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -113,6 +113,9 @@
 type Keys struct {
 	Signing     uint8        `json:"signing" validate:"required"`
 	Generations []Generation `json:"generations" validate:"required,min=1,max=16,unique=ID,dive"`
+	// Version rises with every change, so that a generation that was retired does not
+	// come back when the store is restored from a copy.
+	Version uint64 `json:"version,omitempty"`
 }
 
 // Generation is one secret, 32 bytes in hexadecimal.
--- a/internal/config/object.go
+++ b/internal/config/object.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -14,14 +15,34 @@
 )
 
 // Object is one object of the platform's store as the processes exchange it.
-// Objects are merged by (Kind, Name): the higher Revision wins. A deletion is
-// an object with Deleted set, at a higher revision.
+// Objects are merged by (Kind, Name): the one that supersedes the others wins. A
+// deletion is an object with Deleted set, at a higher revision.
 type Object struct {
 	Kind     string `json:"kind" cbor:"1,keyasint"`
 	Name     string `json:"name" cbor:"2,keyasint"`
-	Revision uint64 `json:"revision" cbor:"3,keyasint"` // store-wide, rises with every write
+	Revision uint64 `json:"revision" cbor:"3,keyasint"` // store-wide, rises with every write; see JoinRevision
 	Deleted  bool   `json:"deleted,omitempty" cbor:"4,keyasint,omitempty"`
 	Value    []byte `json:"value,omitempty" cbor:"5,keyasint,omitempty"`
+	// Version is the operators' own version of the content, 0 for a kind without one.
+	// It does not go back when the store is restored from a copy.
+	Version uint64 `json:"version,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// Supersedes reports whether o replaces p, an object with the same identity.
+func (o *Object) Supersedes(p *Object) bool {
+	return cmp.Or(cmp.Compare(o.Version, p.Version), cmp.Compare(o.Revision, p.Revision)) > 0
+}
+
+// SetVersion sets the version from the value, for a kind whose value contains one. An
+// undecodable value has version 0; Parse reports its fault.
+func (o *Object) SetVersion() {
+	if o.Kind != KindKeys || o.Deleted {
+		return
+	}
+	var k Keys
+	if json.Unmarshal(o.Value, &k) == nil {
+		o.Version = k.Version
+	}
 }
 
 // ID identifies an object across its revisions.
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -24,7 +24,7 @@
 // WriteObjects lists objects with their revisions and values.
 func WriteObjects(w io.Writer, objects []config.Object) {
 	for _, o := range objects {
-		_, _ = fmt.Fprintf(w, "%s %s at revision %d\n  %s\n", o.Kind, o.Name, o.Revision, o.Value)
+		_, _ = fmt.Fprintf(w, "%s %s at revision %s\n  %s\n", o.Kind, o.Name, config.FormatRevision(o.Revision), o.Value)
 	}
 }
 
@@ -72,7 +72,7 @@
 		return
 	}
 	s := r.Status
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d", s.Process, s.Role, s.Zone, s.State, s.ConfigRevision, s.SigningKey)
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d", s.Process, s.Role, s.Zone, s.State, config.FormatRevision(s.ConfigRevision), s.SigningKey)
 	if a := s.Agent; a != nil {
 		_, _ = fmt.Fprintf(w, "\t%s\t%d\t%d\t%d\t%d\t%d\t%d\n", a.Service, a.Busy, a.Limit, a.Slots, a.Queued, a.Flows, a.LongStreams)
 	} else {
@@ -98,16 +98,16 @@
 func writeOutdated(w io.Writer, replies []Reply, expected Revisions) {
 	outdated := expected.Outdated(replies)
 	if len(outdated) == 0 {
-		_, _ = fmt.Fprintf(w, "revision %d is in force in all %d processes\n", expected.All, len(replies))
+		_, _ = fmt.Fprintf(w, "revision %s is in force in all %d processes\n", config.FormatRevision(expected.All), len(replies))
 		return
 	}
-	_, _ = fmt.Fprintf(w, "revision %d is missing in %d of %d processes:\n", expected.All, len(outdated), len(replies))
+	_, _ = fmt.Fprintf(w, "revision %s is missing in %d of %d processes:\n", config.FormatRevision(expected.All), len(outdated), len(replies))
 	for _, r := range outdated {
 		if r.Err != nil {
 			_, _ = fmt.Fprintf(w, "  %s: no answer\n", r.Member.Process)
 			continue
 		}
-		_, _ = fmt.Fprintf(w, "  %s: at revision %d, expected %d\n", r.Status.Process, r.Status.ConfigRevision, expected.revisionFor(&r))
+		_, _ = fmt.Fprintf(w, "  %s: at revision %s, expected %s\n", r.Status.Process, config.FormatRevision(r.Status.ConfigRevision), config.FormatRevision(expected.revisionFor(&r)))
 	}
 }
 
--- a/internal/ctl/store.go
+++ b/internal/ctl/store.go
@@ -188,6 +188,7 @@
 }
 
 func writeKeys(ctx context.Context, s Store, k config.Keys, revision uint64) error {
+	k.Version++
 	if err := config.Check(&k); err != nil {
 		return err
 	}
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -60,6 +60,17 @@
 	}},
 	{"entry paused", func(b *testBench) func() { return b.pause("e1@pier") }},
 	{"agent paused", func(b *testBench) func() { return b.pause("a1@pier") }},
+	{"store restored from a copy", func(b *testBench) func() {
+		copied := b.store.copied()
+		for range 5 { // the operator writes again with fewer calls
+			b.store.put(b.t, config.KindService, "bells", testService("bells", 7, "127.22.0.1:443"))
+		}
+		written := testService("bells", 7, "127.22.0.2:443")
+		b.store.put(b.t, config.KindService, "bells", written)
+		time.Sleep(2 * time.Second)
+		b.store.restore(copied)
+		return func() { b.store.put(b.t, config.KindService, "bells", written) }
+	}},
 	{"configuration changed", func(b *testBench) func() {
 		out := testZones[2]
 		out.Out = !b.zoneOut("hill")
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -62,6 +62,21 @@
 	for _, c := range out.Changes {
 		n.recordMemberChange(now, c)
 	}
+	if out.Restored {
+		n.recordRestore(now)
+	}
+}
+
+// recordRestore records that the store was restored from a copy, and wakes the loop that
+// writes the roster again.
+func (n *Node) recordRestore(now time.Time) {
+	n.metrics.storeRestores.Inc()
+	n.events.Add(now, explain.SubjectConfig, "store", "restored from a copy", "the store reports a higher era")
+	n.opts.Log.Warn("store restored from a copy", "era", n.core.Era())
+	select {
+	case n.restored <- struct{}{}:
+	default:
+	}
 }
 
 // startFetch fetches large objects in the background. Many peers announce the same
@@ -145,12 +160,12 @@
 		if !slices.ContainsFunc(*reported, func(k config.Problem) bool { return k.ID == p.ID && k.Revision == p.Revision }) {
 			n.metrics.configRefused.Inc()
 			n.events.Add(now, explain.SubjectConfig, p.ID.Name, "object refused", p.Err.Error())
-			n.opts.Log.Warn("configuration object refused", "kind", p.ID.Kind, "name", p.ID.Name, "revision", p.Revision, "err", p.Err)
+			n.opts.Log.Warn("configuration object refused", "kind", p.ID.Kind, "name", p.ID.Name, "revision", config.StoreRevision(p.Revision), "era", config.EraOf(p.Revision), "err", p.Err)
 		}
 	}
 	n.recordZoneChanges(now, before, fleet)
 	if before.Revision != fleet.Revision {
-		n.opts.Log.Info("configuration in force", "revision", fleet.Revision)
+		n.opts.Log.Info("configuration in force", "revision", config.StoreRevision(fleet.Revision), "era", config.EraOf(fleet.Revision))
 	}
 }
 
--- a/internal/fleet/memstore_test.go
+++ b/internal/fleet/memstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -13,7 +14,8 @@
 	"crocusnotch/internal/platform"
 )
 
-// memStore is an in-memory platform store that can be made unavailable.
+// memStore is an in-memory platform store that can be made unavailable and restored from
+// a copy. Its revisions contain its era.
 type memStore struct {
 	mu       sync.Mutex
 	revision uint64
@@ -24,7 +26,33 @@
 }
 
 func newMemStore() *memStore {
-	return &memStore{objects: map[config.ID]config.Object{}, changed: make(chan struct{})}
+	return &memStore{revision: config.JoinRevision(1, 0), objects: map[config.ID]config.Object{}, changed: make(chan struct{})}
+}
+
+// copied returns the content of the store, for a later restore.
+func (s *memStore) copied() memCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return memCopy{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+type memCopy struct {
+	revision uint64
+	objects  map[config.ID]config.Object
+}
+
+// restore replaces the content by a copy, in the next era.
+func (s *memStore) restore(c memCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := config.EraOf(s.revision) + 1
+	s.revision = config.JoinRevision(era, config.StoreRevision(c.revision))
+	s.objects = map[config.ID]config.Object{}
+	for id, o := range c.objects {
+		o.Revision = config.JoinRevision(era, config.StoreRevision(o.Revision))
+		s.objects[id] = o
+	}
+	s.notifyWatches()
 }
 
 // countCalls adds the number of calls that the platform's API takes for an
@@ -70,6 +98,10 @@
 			s.mu.Unlock()
 			return platform.Snapshot{}, platform.ErrUnavailable
 		}
+		if config.EraOf(from) != config.EraOf(s.revision) {
+			s.mu.Unlock()
+			return platform.Snapshot{}, platform.ErrCompacted
+		}
 		got, changed := s.snapshotSince(from, kinds), s.changed
 		s.mu.Unlock()
 		if len(got.Objects) > 0 {
@@ -105,6 +137,7 @@
 	}
 	s.revision++
 	o := config.Object{Kind: id.Kind, Name: id.Name, Revision: s.revision, Value: value}
+	o.SetVersion()
 	s.objects[id] = o
 	s.notifyWatches()
 	return o, nil
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"crocusnotch/internal/config"
 	"crocusnotch/internal/telemetry"
 )
 
@@ -17,6 +18,7 @@
 	joins         *prometheus.CounterVec
 	rosterWrites  prometheus.Counter
 	configRefused prometheus.Counter
+	storeRestores prometheus.Counter
 }
 
 func newMetrics(r *prometheus.Registry) *metrics {
@@ -28,9 +30,10 @@
 		joins:         telemetry.CounterVec(subsystem, "joins_total", "Searches for peers by result.", "result"),
 		rosterWrites:  counter("roster_writes_total", "Writes of the zone's roster."),
 		configRefused: counter("config_refused_total", "Configuration objects refused."),
+		storeRestores: counter("store_restores_total", "Restores of the store from a copy that were noticed."),
 	}
 	if r != nil {
-		r.MustRegister(m.messages, m.dropped, m.changes, m.storeErrors, m.joins, m.rosterWrites, m.configRefused)
+		r.MustRegister(m.messages, m.dropped, m.changes, m.storeErrors, m.joins, m.rosterWrites, m.configRefused, m.storeRestores)
 	}
 	return m
 }
@@ -56,7 +59,8 @@
 			Name: "sent_bytes_total", Help: "Bytes of membership messages sent.",
 		}, func() float64 { return float64(n.bytesOut.Load()) }),
 		gauge("members", "Members that are not final.", func() float64 { return float64(len(n.Members())) }),
-		gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(n.Config().Revision) }),
+		gauge("config_revision", "Revision of the configuration in force.", func() float64 { return float64(config.StoreRevision(n.Config().Revision)) }),
+		gauge("config_era", "Era of the store in which that revision was given out.", func() float64 { return float64(config.EraOf(n.Config().Revision)) }),
 	)
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -118,8 +118,10 @@
 	self           atomic.Pointer[membership.Record]
 	serviceName    atomic.Pointer[string]
 	isolated       atomic.Bool
-	storeReachable atomic.Bool  // the last call to the store succeeded
-	verifiedNanos  atomic.Int64 // VerifiedAt as nanoseconds after started, 0: zero time
+	storeReachable atomic.Bool   // the last call to the store succeeded
+	verifiedNanos  atomic.Int64  // VerifiedAt as nanoseconds after started, 0: zero time
+	listAgainAt    atomic.Int64  // when the store's list must be repeated, as nanoseconds after started, or 0
+	restored       chan struct{} // signals that the store was restored from a copy
 	started        time.Time
 	fillStatus     atomic.Pointer[func(*wire.Status)]
 	bytesIn        atomic.Uint64
@@ -142,6 +144,7 @@
 		inbox:    make(chan *membership.Message, inboxSize),
 		commands: make(chan func(time.Time), commandQueueSize),
 		stopped:  make(chan struct{}),
+		restored: make(chan struct{}, 1),
 	}
 	n.core = membership.New(membership.Options{Self: o.Self, Rand: childRand(o.Rand), Timing: o.Timing, Seeds: o.coreSeeds(nil)})
 	n.builder = config.NewBuilder()
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -75,7 +75,7 @@
 // own.
 func (n *Node) storeReadDue(r *rand.Rand) (wait time.Duration, due bool) {
 	if n.isWatcher() {
-		return n.opts.StoreReads.WatchTimeout, true
+		return n.watchTimeout(), true
 	}
 	maxAge := n.opts.StoreReads.MaxAge
 	if maxAge == 0 {
@@ -93,6 +93,32 @@
 	return stalePollInterval
 }
 
+// watchTimeout returns how long a watch may wait: not beyond the time at which the list
+// must be repeated.
+func (n *Node) watchTimeout() time.Duration {
+	wait := n.opts.StoreReads.WatchTimeout
+	if at := n.listAgainAt.Load(); at != 0 {
+		wait = max(0, min(wait, time.Duration(at)-time.Since(n.started)))
+	}
+	return wait
+}
+
+// listIsDue reports whether the list must be repeated, because objects were missing that
+// a restored store may have lost.
+func (n *Node) listIsDue() bool {
+	at := n.listAgainAt.Load()
+	return at != 0 && time.Since(n.started) >= time.Duration(at)
+}
+
+// sinceStart returns a time as nanoseconds after the start of the node, 0 for the zero
+// time.
+func (n *Node) sinceStart(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return int64(at.Sub(n.started))
+}
+
 // markVerified records in the core that its objects were verified as the store's
 // latest at the time and the revision.
 func (n *Node) markVerified(at time.Time, revision uint64) {
@@ -102,7 +128,7 @@
 // readStore makes one call to the store: a list when from is 0, else a watch.
 // An incomplete watch result is followed by a list.
 func (n *Node) readStore(ctx context.Context, from uint64, wait time.Duration) (next uint64, err error) {
-	if from == 0 {
+	if from == 0 || n.listIsDue() {
 		return n.listConfig(ctx)
 	}
 	got, err := n.opts.Store.Watch(ctx, from, wait, n.opts.StoreReads.Kinds...)
@@ -126,8 +152,7 @@
 	return err
 }
 
-// listConfig merges all objects of the store into the core. A known object that is
-// not listed was deleted, at the latest at the revision of the list.
+// listConfig merges all objects of the store into the core.
 func (n *Node) listConfig(ctx context.Context) (next uint64, err error) {
 	at := time.Now()
 	list, err := n.opts.Store.List(ctx, n.opts.StoreReads.Kinds...)
@@ -135,20 +160,9 @@
 	if err != nil {
 		return 0, err
 	}
-	listed := map[config.ID]bool{}
-	for i := range list.Objects {
-		listed[list.Objects[i].ID()] = true
-	}
 	n.enqueue(func(now time.Time) {
-		known, _ := n.core.Objects()
-		for _, o := range known {
-			if !listed[o.ID()] && !o.Deleted && o.Revision < list.Revision {
-				deleted := config.Object{Kind: o.Kind, Name: o.Name, Revision: list.Revision, Deleted: true}
-				list.Objects = append(list.Objects, deleted)
-			}
-		}
-		n.core.Merge(now, nil, list.Objects)
-		n.core.MarkVerified(now, at, list.Revision)
+		repeatAt := n.core.MergeList(now, at, list.Objects, list.Revision)
+		n.listAgainAt.Store(n.sinceStart(repeatAt))
 	})
 	return list.Revision, nil
 }
@@ -175,12 +189,20 @@
 	return xxhash.Sum64String(name + " " + a.String())
 }
 
-// rosterLoop keeps the roster of the own zone up to date.
+// rosterLoop keeps the roster of the own zone up to date, and writes it again soon after
+// the store was restored from a copy.
 func (n *Node) rosterLoop(ctx context.Context, r *rand.Rand) error {
 	lifecycle.Sleep(ctx, time.Duration(r.Int64N(int64(maxRosterStartDelay))))
 	for ctx.Err() == nil {
 		n.updateRoster(ctx, r)
-		lifecycle.Sleep(ctx, rosterPeriod/2+time.Duration(r.Int64N(int64(rosterPeriod))))
+		next := time.NewTimer(rosterPeriod/2 + time.Duration(r.Int64N(int64(rosterPeriod))))
+		select {
+		case <-ctx.Done():
+		case <-next.C:
+		case <-n.restored:
+			lifecycle.Sleep(ctx, time.Duration(r.Int64N(int64(maxRosterStartDelay))))
+		}
+		next.Stop()
 	}
 	return nil
 }
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -94,6 +94,7 @@
 	Changes        []Change
 	ObjectsChanged bool // the configuration objects changed
 	MembersChanged bool // the records changed
+	Restored       bool // the store was restored from a copy
 }
 
 // Core is the membership state machine of one process: it merges records and
@@ -121,6 +122,7 @@
 	probes   probeState
 	repair   repairState
 	verified verifiedState
+	era      eraState
 }
 
 // New returns the state machine of one process.
--- a/internal/membership/fresh.go
+++ b/internal/membership/fresh.go
@@ -39,6 +39,7 @@
 // MarkVerified records that the known objects were verified as the store's latest at
 // the time and the revision, and reports it to other entries.
 func (c *Core) MarkVerified(now, at time.Time, revision uint64) {
+	c.observeEra(now, config.EraOf(revision))
 	if c.self.Role != RoleEntry || !at.After(c.verified.at) {
 		return
 	}
@@ -64,6 +65,7 @@
 // receiveVerified applies the sender's verification when both have the same objects,
 // and forwards it in fleets too large for a broadcast.
 func (c *Core) receiveVerified(now time.Time, m *Message) {
+	c.observeEra(now, config.EraOf(m.Seq))
 	if m.ConfigHash != c.objects.sum {
 		return
 	}
@@ -91,7 +93,7 @@
 	for i := range c.objects.buckets {
 		for id, o := range c.objects.buckets[i] {
 			if id.Kind == config.KindZoneOut && !o.latest.Deleted {
-				out = append(out, ObjectRef{Kind: id.Kind, Name: id.Name, Revision: o.latest.Revision})
+				out = append(out, refOf(&o.latest))
 			}
 		}
 	}
@@ -106,9 +108,10 @@
 		known := c.objects.get(s.ID())
 		switch {
 		case known != nil:
-			if known.latest.Revision > s.Revision {
+			if known.latest.Supersedes(s.object()) {
 				out = append(out, known.latest)
 			}
+		case c.awaitingRewrite(now, s.Revision):
 		case now.Sub(c.verified.at) <= verifiedMaxAge && c.verified.revision > s.Revision:
 			out = append(out, config.Object{Kind: s.Kind, Name: s.Name, Revision: c.verified.revision, Deleted: true})
 		}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -85,12 +85,16 @@
 	c.announce(now)
 }
 
-// mergeObject stores an object of a higher revision and, on entries, forwards it
-// at once.
+// mergeObject stores an object that supersedes the known one and, on entries,
+// forwards it at once.
 func (c *Core) mergeObject(now time.Time, in *config.Object) {
 	if in.Kind == config.KindRoster {
 		return
 	}
+	c.observeEra(now, config.EraOf(in.Revision))
+	if c.awaitingRewrites(now) && c.objects.isPast(in) {
+		return
+	}
 	stored := c.objects.putIfNewer(in)
 	if stored == nil {
 		return
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -81,6 +81,16 @@
 	Kind     string `cbor:"1,keyasint"`
 	Name     string `cbor:"2,keyasint"`
 	Revision uint64 `cbor:"3,keyasint"`
+	Version  uint64 `cbor:"4,keyasint,omitempty"` // see config.Object
+}
+
+func refOf(o *config.Object) ObjectRef {
+	return ObjectRef{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Version: o.Version}
+}
+
+// object returns the object without its value.
+func (r ObjectRef) object() *config.Object {
+	return &config.Object{Kind: r.Kind, Name: r.Name, Revision: r.Revision, Version: r.Version}
 }
 
 // ID returns the identity of the object.
--- a/internal/membership/objects.go
+++ b/internal/membership/objects.go
@@ -19,9 +19,22 @@
 	problem error          // why latest is not in force
 	service uint16         // ID of the service, 0 for other kinds
 	seq     uint64         // local sequence number of the last change
+	// superseded are earlier revisions of the same era, oldest first. A store that was
+	// restored from a copy has one of them again.
+	superseded []pastRevision
 }
 
-// objects holds the highest known revision of every configuration object.
+// pastRevision identifies a revision of an object and its content.
+type pastRevision struct {
+	revision uint64 // as the store gave it out
+	value    uint64 // hash
+}
+
+// maxPastRevisions bounds the superseded revisions of one object. A copy is seconds
+// old, and operators change one object a few times a second at most.
+const maxPastRevisions = 64
+
+// objects holds the last known revision of every configuration object.
 type objects struct {
 	seq     *uint64
 	buckets [Buckets]map[config.ID]*object
@@ -56,9 +69,9 @@
 	return 0
 }
 
-// putIfNewer stores an object of a higher revision. It returns nil when the
-// revision is not higher. An invalid revision is stored so that it can be sent
-// to others, but the last valid one stays in force.
+// putIfNewer stores an object that supersedes the known one. It returns nil when it
+// does not. An invalid revision is stored so that it can be sent to others, but the
+// last valid one stays in force.
 func (o *objects) putIfNewer(in *config.Object) *object {
 	key := idKey(in.ID())
 	b := bucketOf(key)
@@ -68,9 +81,10 @@
 		known = &object{}
 		o.buckets[b][in.ID()] = known
 		o.size++
-	case in.Revision <= known.latest.Revision:
+	case !in.Supersedes(&known.latest):
 		return nil
 	default:
+		known.recordPast(in)
 		old := revisionHash(key, known.latest.Revision)
 		o.sum ^= old
 		o.hashes[b] ^= uint32(old >> 32)
@@ -86,6 +100,31 @@
 	return known
 }
 
+// recordPast records that in supersedes the latest revision. Revisions of an earlier era
+// are forgotten with the first one of a later era.
+func (k *object) recordPast(in *config.Object) {
+	if config.EraOf(in.Revision) != config.EraOf(k.latest.Revision) {
+		k.superseded = nil
+		return
+	}
+	if len(k.superseded) == maxPastRevisions {
+		k.superseded = slices.Delete(k.superseded, 0, 1)
+	}
+	k.superseded = append(k.superseded, pastRevisionOf(&k.latest))
+}
+
+func pastRevisionOf(o *config.Object) pastRevision {
+	return pastRevision{revision: config.StoreRevision(o.Revision), value: xxhash.Sum64(o.Value)}
+}
+
+// isPast reports whether an object of a later era is a revision that had been
+// superseded before the store was restored.
+func (o *objects) isPast(in *config.Object) bool {
+	known := o.get(in.ID())
+	return known != nil && !in.Deleted && config.EraOf(in.Revision) > config.EraOf(known.latest.Revision) &&
+		slices.Contains(known.superseded, pastRevisionOf(in))
+}
+
 // validate puts the latest revision in force if it is valid, and sets its problem
 // otherwise.
 func (o *objects) validate(k *object) {
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -86,7 +86,8 @@
 func (c *Core) fetchObjects(m *Message) {
 	var ids []config.ID
 	for _, s := range m.ObjectRefs {
-		if s.Revision > c.objects.revision(s.ID()) {
+		known := c.objects.get(s.ID())
+		if known == nil || s.object().Supersedes(&known.latest) {
 			ids = append(ids, s.ID())
 		}
 	}
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -235,7 +235,7 @@
 	if inline {
 		p.m.Objects = append(p.m.Objects, *o)
 	} else {
-		p.m.ObjectRefs = append(p.m.ObjectRefs, ObjectRef{Kind: o.Kind, Name: o.Name, Revision: o.Revision})
+		p.m.ObjectRefs = append(p.m.ObjectRefs, refOf(o))
 	}
 	return true
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -58,6 +59,7 @@
 	opts    Options
 	limiter *rate.Limiter
 	metrics *metrics
+	era     atomic.Uint64 // highest era in a response
 }
 
 // New returns a client of the object API at the base URL.
@@ -119,8 +121,13 @@
 		c.metrics.countCall(call.Name, "lost")
 		return Response{}, errors.Wrap(err, "read store response")
 	}
+	era, err := c.responseEra(res.Header)
+	if err != nil {
+		c.metrics.countCall(call.Name, "old-era")
+		return Response{}, err
+	}
 	c.metrics.countCall(call.Name, strconv.Itoa(res.StatusCode))
-	return Response{Status: res.StatusCode, Body: body}, nil
+	return Response{Status: res.StatusCode, Body: body, Era: era}, nil
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/platform/commands.go
+++ b/internal/platform/commands.go
@@ -37,6 +37,12 @@
 	return current != nil && current.Revision > w.Expected && bytes.Equal(current.Value, w.Value)
 }
 
+// restoredSince reports whether the expected revision was read in another era of the
+// store. A write that creates an object expects none.
+func (w Write) restoredSince(era uint64) bool {
+	return w.Expected != 0 && config.EraOf(w.Expected) != era
+}
+
 // unchanged reports whether the store still has the revision that w expects.
 func (w Write) unchanged(current *config.Object) bool {
 	if current == nil {
@@ -87,13 +93,21 @@
 // attemptWrite makes one attempt. responseLost reports whether the response to an
 // earlier attempt was lost.
 func (c *Client) attemptWrite(ctx context.Context, w Write, responseLost bool) attempt {
-	res, err := c.roundTrip(ctx, c.withCallTimeout(c.opts.Protocol.Write(w)))
+	if w.restoredSince(c.era.Load()) {
+		return attempt{final: true, err: ErrRestored}
+	}
+	raw := w
+	raw.Expected = config.StoreRevision(w.Expected)
+	res, err := c.roundTrip(ctx, c.withCallTimeout(c.opts.Protocol.Write(raw)))
 	if err != nil || res.Status >= http.StatusInternalServerError {
 		return c.readBack(ctx, w, retryReason(res, err))
 	}
 	switch {
+	case res.Status == http.StatusOK && w.restoredSince(res.Era):
+		// The condition held by chance, for a revision that was given out again.
+		return attempt{final: true, err: uncertain(ErrRestored)}
 	case res.Status == http.StatusOK:
-		o, err := c.opts.Protocol.Object(w.ID, res)
+		o, err := c.object(w.ID, res)
 		if err != nil {
 			return c.readBack(ctx, w, "undecodable")
 		}
@@ -138,7 +152,7 @@
 // caused by an earlier attempt of the same write.
 func (c *Client) conflict(w Write, res Response, responseLost bool) attempt {
 	var current *config.Object
-	if o, err := c.opts.Protocol.Object(w.ID, res); err == nil && o.Revision != 0 && !o.Deleted {
+	if o, err := c.object(w.ID, res); err == nil && o.Revision != 0 && !o.Deleted {
 		current = &o
 	}
 	if responseLost && w.applied(current) {
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -21,6 +21,10 @@
 	// ErrUncertain reports a command whose response was lost and whose object
 	// could not be read back: it may have been applied.
 	ErrUncertain = errors.New("platform: outcome of the write unknown")
+	// ErrRestored reports that the store was restored from a copy since the caller
+	// read the revision that it expects. The caller must read again: the store may
+	// have given that revision to another object.
+	ErrRestored = errors.New("platform: store was restored from a copy")
 	// ErrTooLarge reports a value above MaxValueSize.
 	ErrTooLarge = errors.New("platform: value too large")
 )
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -13,6 +13,7 @@
 	calls   *prometheus.CounterVec
 	retries *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
+	eras    *prometheus.CounterVec
 }
 
 // callBuckets are in seconds and range from a fast response to the longest watch.
@@ -23,12 +24,13 @@
 		calls:   storeCounter("calls_total", "Calls to the platform's store by method and result.", "result"),
 		retries: storeCounter("retries_total", "Repeated calls to the platform's store by method and reason.", "reason"),
 	}
+	m.eras = telemetry.CounterVec(subsystem, "eras_total", "Eras in the store's responses that rose or could not be read.", "result")
 	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "call_seconds",
 		Help: "Duration of calls to the platform's store by method, waiting included.", Buckets: callBuckets,
 	}, []string{"method"})
 	if r != nil {
-		r.MustRegister(m.calls, m.retries, m.seconds)
+		r.MustRegister(m.calls, m.retries, m.seconds, m.eras)
 	}
 	return m
 }
--- a/internal/platform/native.go
+++ b/internal/platform/native.go
@@ -13,6 +13,7 @@
 	decimal           = 10
 	headerIfMatch     = "If-Match"
 	headerIfNoneMatch = "If-None-Match"
+	headerEra         = "Crocus-Store-Era"
 	contentTypeJSON   = "application/json"
 	objectsPath       = "/v1/objects/"
 	watchPath         = "/v1/watch"
@@ -76,5 +77,8 @@
 // Changes implements Protocol.
 func (nativeProtocol) Changes(_ uint64, res Response) (Snapshot, error) { return Decode[Snapshot](res) }
 
+// EraHeader implements Protocol.
+func (nativeProtocol) EraHeader() string { return headerEra }
+
 // Conflict implements Protocol.
 func (nativeProtocol) Conflict(res Response) bool { return res.Status == http.StatusPreconditionFailed }
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -23,6 +23,7 @@
 type Response struct {
 	Status int
 	Body   []byte
+	Era    uint64 // era of the store; see config.JoinRevision
 }
 
 // retryable reports whether a retry may succeed.
@@ -33,13 +34,14 @@
 // Write is one conditional change of an object.
 type Write struct {
 	ID       config.ID
-	Expected uint64 // required current revision, 0 to create the object
+	Expected uint64 // required current revision as the store gave it out, 0 to create the object
 	Value    []byte
 	Remove   bool
 }
 
 // Protocol encodes the calls to one object API and decodes its responses. The client
-// adds timeouts, retries, the rate limit and the handling of lost responses.
+// adds timeouts, retries, the rate limit, the handling of lost responses and the eras:
+// the revisions of a Protocol are those that the store gives out.
 type Protocol interface {
 	Get(id config.ID) Call
 	// List requests the page of a kind that starts after the given name.
@@ -52,6 +54,8 @@
 	Page(kind string, res Response) (page Snapshot, next string, err error)
 	// Changes decodes a response to Watch.
 	Changes(from uint64, res Response) (Snapshot, error)
+	// EraHeader is the name of the response header that contains the store's era.
+	EraHeader() string
 	// Conflict reports whether a write was rejected because of its revision.
 	Conflict(res Response) bool
 }
--- a/internal/platform/queries.go
+++ b/internal/platform/queries.go
@@ -29,7 +29,7 @@
 	if res.Status == http.StatusNotFound {
 		return config.Object{}, ErrNotFound
 	}
-	return c.opts.Protocol.Object(id, res)
+	return c.object(id, res)
 }
 
 // withCallTimeout sets the timeout of a call that does not wait for a change.
@@ -39,7 +39,8 @@
 }
 
 // List returns all objects of the kinds. The revision is the lowest at which one of
-// the kinds was read, so that a watch from there misses no change.
+// the kinds was read, so that a watch from there misses no change. The error wraps
+// ErrUnavailable, also when the store was restored from a copy in between.
 func (c *Client) List(ctx context.Context, kinds ...string) (Snapshot, error) {
 	var out Snapshot
 	for i, kind := range kinds {
@@ -51,6 +52,9 @@
 			out.Revision = part.Revision
 		}
 		out.Objects = append(out.Objects, part.Objects...)
+		if config.EraOf(part.Revision) != config.EraOf(out.Revision) {
+			return Snapshot{}, unavailable(ErrRestored)
+		}
 	}
 	return out, nil
 }
@@ -67,8 +71,12 @@
 		if err != nil {
 			return Snapshot{}, err
 		}
-		if first {
+		page = page.withEra(res.Era)
+		switch {
+		case first:
 			out.Revision = page.Revision
+		case config.EraOf(page.Revision) != config.EraOf(out.Revision):
+			return Snapshot{}, unavailable(ErrRestored)
 		}
 		out.Objects = append(out.Objects, page.Objects...)
 		after = next
@@ -78,19 +86,23 @@
 
 // Watch waits up to wait for objects of the kinds that changed after the revision
 // from, and returns them with the revision to watch from next. The set is empty if
-// nothing changed. Watch makes one call. The error is ErrCompacted or wraps
-// ErrUnavailable.
+// nothing changed. Watch makes one call. The error is ErrCompacted, also when the store
+// was restored from a copy since, or wraps ErrUnavailable.
 func (c *Client) Watch(ctx context.Context, from uint64, wait time.Duration, kinds ...string) (Snapshot, error) {
-	call := c.opts.Protocol.Watch(from, wait, kinds)
+	call := c.opts.Protocol.Watch(config.StoreRevision(from), wait, kinds)
 	call.Timeout = wait + c.opts.CallTimeout
 	res, err := c.roundTrip(ctx, call)
 	if err != nil {
 		return Snapshot{}, unavailable(err)
 	}
-	if res.Status == http.StatusGone {
+	if res.Status == http.StatusGone || res.Era != config.EraOf(from) {
 		return Snapshot{}, ErrCompacted
 	}
-	return c.opts.Protocol.Changes(from, res)
+	changes, err := c.opts.Protocol.Changes(config.StoreRevision(from), res)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return changes.withEra(res.Era), nil
 }
 
 // query retries a call until it receives a response that is not retryable, the
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -128,6 +128,8 @@
 	version     int
 	extraRoutes int // number of routes in addition to those of the services
 	faults      faultTimes
+	zonesOutMu  sync.Mutex
+	zonesOut    map[string]bool // what the operator last requested
 }
 
 func (f *fleet) ip(kind, i int) netip.Addr {
@@ -147,7 +149,8 @@
 )
 
 func newFleet(t *testing.T, bin string) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New()}
+	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New(), zonesOut: map[string]bool{}}
+	f.store.SetEra(1)
 	f.configure()
 	backend, err := net.Listen("tcp", f.addr(kindStore, 0, portStore).String())
 	f.must(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 	"time"
 
 	"crocusnotch/internal/processtest"
+	"crocusnotch/platform/platformtest"
 )
 
 const (
@@ -179,9 +181,58 @@
 	f.faults.begin()
 	defer f.faults.end()
 	zone := zones[r.IntN(len(zones))]
-	f.store.Put("evacuations", zone, "{}")
+	f.setZoneOut(zone, true)
 	time.Sleep(time.Duration(500+r.IntN(2000)) * time.Millisecond)
-	f.store.Delete("evacuations", zone)
+	f.setZoneOut(zone, false)
+}
+
+// setZoneOut writes an operator's request to the store and remembers it.
+func (f *fleet) setZoneOut(zone string, out bool) {
+	f.zonesOutMu.Lock()
+	defer f.zonesOutMu.Unlock()
+	f.zonesOut[zone] = out
+	f.writeZone(zone)
+}
+
+func (f *fleet) writeZone(zone string) {
+	if f.zonesOut[zone] {
+		f.store.Put("evacuations", zone, "{}")
+	} else {
+		f.store.Delete("evacuations", zone)
+	}
+}
+
+// injectRestores restores the store from copies that are up to five seconds old, at
+// times that depend on the seed alone: the sequence of the other faults stays the same.
+func (f *fleet) injectRestores(seed uint64, length time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	end := time.Now().Add(length)
+	for {
+		wait := time.Duration(300+r.IntN(5000)) * time.Millisecond
+		if time.Until(end) < wait {
+			return
+		}
+		time.Sleep(wait)
+		f.restoreStore(r)
+	}
+}
+
+// restoreStore restores the store after a moment without service, after which the
+// operator writes again what it has lost.
+func (f *fleet) restoreStore(r *rand.Rand) {
+	f.faults.begin()
+	defer f.faults.end()
+	f.store.SetFault(func(*http.Request) platformtest.Fault { return platformtest.Unavailable })
+	time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+	f.store.Restore(time.Duration(r.IntN(5000)) * time.Millisecond)
+	f.store.SetFault(nil)
+	time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+	f.changeConfiguration(r)
+	f.zonesOutMu.Lock()
+	defer f.zonesOutMu.Unlock()
+	for _, zone := range zones {
+		f.writeZone(zone)
+	}
 }
 
 // checkRecovered checks after the faults that open flows still work and that every
@@ -238,6 +289,9 @@
 		rnd := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 		running.Go(func() { f.callers.runFlows(rnd, stop) })
 	}
+	if !planned {
+		running.Go(func() { f.injectRestores(seed, length) })
+	}
 	f.injectFaults(r, length, planned)
 	f.startAll()
 	close(stop)
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -25,6 +25,9 @@
 	DefaultWritesPerSecond = 400
 )
 
+// headerEra is the response header that contains the store's era.
+const headerEra = "Crocus-Store-Era"
+
 // maxWait is the longest duration of one watch call.
 const maxWait = time.Minute
 
@@ -91,13 +94,14 @@
 	s.mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.limitReads(s.handleGet))
 	s.mux.HandleFunc("GET /v1/objects/{kind}", s.limitReads(s.handleList))
 	s.mux.HandleFunc("GET /v1/watch", s.limitReads(s.handleWatch))
+	s.mux.HandleFunc("POST /standin/restore", s.handleRestore)
 	s.mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.limitWrites(s.handlePut))
 	s.mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.limitWrites(s.handleDelete))
 	return s
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(s.addEra(w), r) }
 
 // SetFault sets the fault for the following calls. An outage also ends open watches.
 func (s *Store) SetFault(f Fault) {
@@ -116,6 +120,18 @@
 // again.
 func (s *Store) Compact() { s.state.compact() }
 
+// Restore simulates a restore from a copy of the given age: the store is down for the
+// time away, and then has lost all later changes. It returns after that.
+func (s *Store) Restore(age, away time.Duration) {
+	fault, _ := s.currentFault()
+	down := fault
+	down.Down = true
+	s.SetFault(down)
+	time.Sleep(away)
+	s.state.restore(time.Now(), age+away)
+	s.SetFault(fault)
+}
+
 // Counts returns the number of calls since the start.
 func (s *Store) Counts() Counts {
 	c := &s.counts
@@ -186,6 +202,20 @@
 	}
 }
 
+// handleRestore restores the store from a copy that is ageMillis old, after awayMillis
+// without service.
+func (s *Store) handleRestore(w http.ResponseWriter, r *http.Request) {
+	const millisBits = 31
+	age, errAge := strconv.ParseUint(r.URL.Query().Get("ageMillis"), 10, millisBits)
+	away, errAway := strconv.ParseUint(r.URL.Query().Get("awayMillis"), 10, millisBits)
+	if errAge != nil || errAway != nil {
+		http.Error(w, "ageMillis and awayMillis must be numbers", http.StatusBadRequest)
+		return
+	}
+	s.Restore(time.Duration(age)*time.Millisecond, time.Duration(away)*time.Millisecond)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
 	o, ok := s.state.get(objectID(r))
 	if !ok {
@@ -276,6 +306,21 @@
 	return Condition{Revision: revision}, nil
 }
 
+// addEra adds the era to a response, when its status is written.
+func (s *Store) addEra(w http.ResponseWriter) http.ResponseWriter { return &eraWriter{w, s.state} }
+
+// eraWriter adds the era that is current when the response is written: a call that
+// waited while the store was restored is answered in the new era.
+type eraWriter struct {
+	http.ResponseWriter
+	state *state
+}
+
+func (e *eraWriter) WriteHeader(status int) {
+	e.Header().Set(headerEra, strconv.FormatUint(e.state.currentEra(), 10))
+	e.ResponseWriter.WriteHeader(status)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	var b bytes.Buffer
 	if err := json.NewEncoder(&b).Encode(v); err != nil {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,13 +1,15 @@
 // Package store simulates the platform's object API: revisions, conditional
-// updates, watches with compaction, rate limits, and faults that can be switched
-// on.
+// updates, watches with compaction, rate limits, restores from a copy, and faults that
+// can be switched on.
 package store
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -38,8 +40,23 @@
 	history      []config.Object // changes, oldest first
 	historyLimit int
 	changed      chan struct{} // closed and replaced at every change
+	era          uint64        // rises with every restore
+	copies       []snapshot    // oldest first
 }
 
+// snapshot is the content of the store after a change.
+type snapshot struct {
+	at       time.Time
+	revision uint64
+	objects  map[config.ID]config.Object
+}
+
+const (
+	firstEra = 1
+	// copyRetention is the age up to which the store can be restored.
+	copyRetention = time.Minute
+)
+
 func newState(history int) *state {
 	if history <= 0 {
 		history = defaultHistory
@@ -48,6 +65,7 @@
 		objects:      map[config.ID]config.Object{},
 		historyLimit: history,
 		changed:      make(chan struct{}),
+		era:          firstEra,
 	}
 }
 
@@ -92,9 +110,46 @@
 		s.objects[id] = o
 	}
 	s.appendHistory(o)
+	s.recordCopy(time.Now())
 	return o, true
 }
 
+// recordCopy keeps the content for a later restore.
+func (s *state) recordCopy(now time.Time) {
+	expired := 0
+	for i, c := range s.copies {
+		if now.Sub(c.at) > copyRetention {
+			expired = i // the last one of them is the content at that age
+		}
+	}
+	s.copies = append(s.copies[expired:], snapshot{at: now, revision: s.revision, objects: maps.Clone(s.objects)})
+}
+
+// restore replaces the content by a copy of the given age. Later changes are lost, their
+// revisions are given out again, the history is gone and the era rises by one.
+func (s *state) restore(now time.Time, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restored := snapshot{objects: map[config.ID]config.Object{}}
+	for _, c := range s.copies {
+		if now.Sub(c.at) >= age {
+			restored = c
+		}
+	}
+	s.revision, s.objects = restored.revision, maps.Clone(restored.objects)
+	s.copies = []snapshot{restored}
+	s.history, s.compacted = nil, s.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *state) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func conditionHolds(cond Condition, current config.Object, exists bool) bool {
 	if cond.Absent {
 		return !exists
@@ -129,7 +184,7 @@
 func (s *state) since(kinds []string, from uint64) (uint64, []config.Object, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from < s.compacted {
+	if from < s.compacted || from > s.revision {
 		return s.revision, nil, nil, ErrCompacted
 	}
 	last := map[config.ID]config.Object{}
