Act on nothing that ran out during a pause, and keep ended upstreams ended

Two of the failures that operators of similar systems had, found by reading:

- A process that was suspended acted on what had run out meanwhile.
The monotonic clock stands still during a suspension, so an entry's configuration looked as fresh as before and it reset flows to addresses that had been added; an agent offered flows to an upstream whose zone had been taken out.
A detector compares with a clock that goes on; until an entry has confirmed what it missed, an agent refuses new flows with the reason 'paused' (they go on to another agent), and an entry's configuration counts as unverified.
- An announcement delayed on its way brought an upstream back into use that had announced its end, if its sequence number was higher than the last one seen.

--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -40,8 +40,10 @@
 			n.core.Tick(now)
 			n.isolated.Store(n.core.Isolated(now))
 		}
-		n.applyOutput(time.Now())
+		now := time.Now()
+		n.applyOutput(now)
 		n.publishVerifiedAt()
+		n.awaitingEntry.Store(n.core.AwaitingEntry(now))
 	}
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -122,6 +122,8 @@
 	verifiedNanos  atomic.Int64  // VerifiedAt as nanoseconds after started, 0: zero time
 	listAgainAt    atomic.Int64  // when the store's list must be repeated, as nanoseconds after started, or 0
 	restored       chan struct{} // signals that the store was restored from a copy
+	resuming       atomic.Bool   // Resume was called and the loop has not handled it yet
+	awaitingEntry  atomic.Bool   // see membership.Core.AwaitingEntry
 	started        time.Time
 	fillStatus     atomic.Pointer[func(*wire.Status)]
 	bytesIn        atomic.Uint64
@@ -332,6 +334,20 @@
 	n.enqueue(func(time.Time) { n.core.SetServiceName(service) })
 }
 
+// Resume handles the end of a pause in which this process did not run.
+func (n *Node) Resume() {
+	n.resuming.Store(true)
+	n.enqueue(func(now time.Time) {
+		n.core.Resume(now)
+		n.awaitingEntry.Store(n.core.AwaitingEntry(now))
+		n.resuming.Store(false)
+	})
+}
+
+// AwaitingEntry reports whether this agent was paused and no entry has confirmed since
+// that it knows the changes that it missed.
+func (n *Node) AwaitingEntry() bool { return n.resuming.Load() || n.awaitingEntry.Load() }
+
 // Leave announces StateLeft and stops Run. It returns when the announcement was
 // sent or ctx ends.
 func (n *Node) Leave(ctx context.Context) {
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -381,3 +381,22 @@
 	o.Failed()
 	is.True(o.FailureRate() < 0.05)
 }
+
+// An announcement that was delayed on its way arrives after the upstream has announced
+// its end: the upstream does not come back by it. A new start does.
+func TestUpstreamThatEndedStaysEnded(t *testing.T) {
+	is := is.New(t)
+	u := NewUpstream(start)
+	announce := func(a Announcement) AnnounceResult { return u.Announce(start, a) }
+	alive := Announcement{ID: "i-1", StartMillis: 100, Sequence: 5, Service: "s", Slots: 5}
+	is.Equal(announce(alive), AnnounceChanged)
+	is.Equal(announce(Announcement{ID: "i-1", Ended: true, StartMillis: 100}), AnnounceChanged)
+	late := alive
+	late.Sequence = 7
+	is.Equal(announce(late), AnnounceStale)
+	is.Equal(u.State(start, time.Minute), UpstreamAbsent)
+	again := alive
+	again.StartMillis, again.Sequence = 200, 1
+	is.Equal(announce(again), AnnounceChanged)
+	is.Equal(u.State(start, time.Minute), UpstreamWarm)
+}
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -19,11 +19,12 @@
 	RefusalConnections         // the upstream has reached its limit of flows
 	RefusalReturned            // the upstream returned the opening packet
 	RefusalNotHeld             // the agent or its upstream does not hold the flow
+	RefusalPaused              // the agent was paused and does not know yet what changed
 	refusalCount
 )
 
 var refusalNames = [refusalCount]string{
-	"none", "no-upstream", "leaving", "service", "zone-out", "cold", "busy", "connections", "bounced", "not-held",
+	"none", "no-upstream", "leaving", "service", "zone-out", "cold", "busy", "connections", "bounced", "not-held", "paused",
 }
 
 // String returns the reason as logs and metrics show it.
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -98,7 +98,11 @@
 	if !u.known || a.StartMillis > u.last.StartMillis {
 		return false
 	}
-	return a.StartMillis < u.last.StartMillis || a.ID == u.last.ID && a.Sequence <= u.last.Sequence
+	if a.StartMillis < u.last.StartMillis {
+		return true
+	}
+	// An announcement of an upstream that has ended was delayed on its way.
+	return a.ID == u.last.ID && (u.last.Ended || a.Sequence <= u.last.Sequence)
 }
 
 // UpstreamState is the state of an upstream.
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -39,7 +39,34 @@
 	missedProbes    map[netip.AddrPort]int       // unanswered probes of known entries
 	lastProbed      netip.AddrPort               // known entry probed last
 	heartbeatCount  int
-	lastCheckedPeer netip.AddrPort // peer last sent to the watchers
+	lastCheckedPeer netip.AddrPort  // peer last sent to the watchers
+	resumeProbes    map[uint64]bool // numbers of the probes that followed heartbeats after a pause
+	resumedAt       time.Time
+}
+
+// resumeConfirmTimeout bounds the wait of an agent for its watchers after a pause. They
+// answer within milliseconds, unless all of them are gone.
+const resumeConfirmTimeout = 2 * time.Second
+
+// requestChangesMissed asks the watchers for what changed while this agent was paused,
+// such as a zone that was taken out of service. The probe follows the heartbeat, so its
+// acknowledgement follows the reply.
+func (c *Core) requestChangesMissed(now time.Time) {
+	c.agent.resumedAt, c.agent.resumeProbes = now, map[uint64]bool{}
+	c.heartbeatAll(now)
+	for _, w := range c.sortedWatchers() {
+		if m := c.table.get(w.addr); m != nil {
+			seq := c.nextProbeSeq()
+			c.agent.resumeProbes[seq] = true
+			c.sendPing(seq, m.Control, &m.Record)
+		}
+	}
+}
+
+// AwaitingEntry reports whether this agent was paused and no entry has confirmed since
+// what it believes.
+func (c *Core) AwaitingEntry(now time.Time) bool {
+	return len(c.agent.resumeProbes) > 0 && now.Sub(c.agent.resumedAt) < resumeConfirmTimeout
 }
 
 // resetWatcherSeqs makes all watchers send everything in scope again.
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -266,6 +266,18 @@
 	c.lastReceived = c.lastReceived.Add(gap)
 	c.verified.at = time.Time{}
 	c.repair.nextMembers = now
+	if c.self.Role == RoleAgent {
+		c.requestChangesMissed(now)
+	}
+}
+
+// Resume handles the end of a pause during which the clock stood still, so that the
+// deadlines of members need no extension.
+func (c *Core) Resume(now time.Time) {
+	c.startOnce(now)
+	if !c.left {
+		c.resumeAfterPause(now, 0)
+	}
 }
 
 // Isolated reports whether no entry is known or no message came from any peer
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -156,6 +156,9 @@
 
 func (c *Core) receiveAck(now time.Time, m *Message) {
 	delete(c.agent.missedProbes, m.From)
+	if c.agent.resumeProbes[m.Seq] {
+		c.agent.resumeProbes = nil
+	}
 	p := c.probes.pending[m.Seq]
 	if p == nil {
 		return
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -225,8 +225,10 @@
 	if !ok {
 		return
 	}
+	stale := s.Opening && (a.pause.Paused() || a.fleet.AwaitingEntry())
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.tracker.SetStale(stale)
 	a.tracker.Packet(time.Now(), flow.EndpointOf(from), &s, b)
 }
 
@@ -252,6 +254,7 @@
 }
 
 func (a *Agent) tick(now time.Time) {
+	a.checkPause()
 	a.mu.Lock()
 	a.tracker.Tick(now)
 	a.mu.Unlock()
--- a/internal/passthrough/base.go
+++ b/internal/passthrough/base.go
@@ -17,6 +17,7 @@
 	deps  Deps
 	fleet Fleet
 	stop  *lifecycle.Stopper
+	pause *lifecycle.PauseDetector
 	mu    sync.Mutex // guards the state machine and the sender
 }
 
@@ -26,7 +27,10 @@
 	if err != nil {
 		return errors.Wrap(err, "secret")
 	}
-	s.deps, s.stop = d, lifecycle.NewStopper()
+	s.deps, s.stop, s.pause = d, lifecycle.NewStopper(), d.Pause
+	if s.pause == nil {
+		s.pause = lifecycle.NewPauseDetector()
+	}
 	s.sender = sender{codec: d.Codec, keys: keys, counters: newCounters(d.Registry), callerPort: settings.CallerPort()}
 	return nil
 }
@@ -51,6 +55,15 @@
 	})
 }
 
+// checkPause makes the fleet node renew what it believes after a pause.
+func (s *base) checkPause() {
+	if gap := s.pause.Beat(); gap > 0 {
+		s.counters.pauses.Inc()
+		s.deps.Log.Warn("resumed after a pause", "paused_ms", gap.Milliseconds())
+		s.fleet.Resume()
+	}
+}
+
 func (s *base) countReadError() { s.counters.countDropped(dropRead) }
 
 // decodePacket decodes the header of a packet. A malformed datagram is counted as
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -49,6 +49,7 @@
 		return nil, err
 	}
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
+	e.router.SetPaused(e.pause.Paused)
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
@@ -165,6 +166,7 @@
 }
 
 func (e *Entry) tick(now time.Time) {
+	e.checkPause()
 	verifiedAt := e.fleet.VerifiedAt()
 	current := e.fleet.Config() // read after verifiedAt, so at least as new as the configuration it refers to
 	e.mu.Lock()
--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -111,6 +111,7 @@
 	idleTimeout     time.Duration
 	zoneOut         bool
 	draining        bool
+	stale           bool // this process was paused: configuration and announcements may have changed
 	busyRequests    int
 	averageBusy     float64
 	outcomes        flow.Outcomes
@@ -158,6 +159,10 @@
 // Drain makes the agent refuse new flows.
 func (t *Tracker) Drain() { t.draining = true }
 
+// SetStale sets whether this process was paused and has not learned since what changed
+// meanwhile. It refuses new flows until then.
+func (t *Tracker) SetStale(stale bool) { t.stale = stale }
+
 // Busy returns the number of unanswered requests.
 func (t *Tracker) Busy() int { return t.busyRequests }
 
@@ -363,8 +368,11 @@
 }
 
 func (t *Tracker) admit(now time.Time, meta flow.Metadata) flow.Refusal {
-	if t.draining {
+	switch {
+	case t.draining:
 		return flow.RefusalLeaving
+	case t.stale:
+		return flow.RefusalPaused
 	}
 	return t.admission.Admit(now, flow.AdmissionRequest{
 		State:          t.State(now),
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -20,6 +20,7 @@
 	dropped   *prometheus.CounterVec
 	placement prometheus.Histogram
 	answers   prometheus.Histogram
+	pauses    prometheus.Counter
 }
 
 // latencyBuckets range from the latency of a hop inside a zone to the longest
@@ -33,9 +34,13 @@
 		dropped:   telemetry.CounterVec(subsystem, "dropped_total", "Datagrams dropped by reason.", "reason"),
 		placement: histogram("placement_seconds", "Time from a flow's first packet here until its owner is known."),
 		answers:   histogram("answer_seconds", "Time from a request to the first packet of its answer."),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "pauses_total",
+			Help: "Pauses of a second or more in which the process did not run.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses)
 	}
 	return c
 }
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -12,6 +12,7 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
 	"crocusnotch/internal/fleet"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -48,6 +49,8 @@
 	Watch() <-chan struct{}
 	Update(change func(*membership.Record))
 	SetServiceName(service string)
+	Resume()
+	AwaitingEntry() bool
 	Events() *explain.Ring
 	SetStatus(fill func(*wire.Status))
 	Leave(ctx context.Context)
@@ -59,6 +62,8 @@
 	Registry *prometheus.Registry
 	Codec    Codec
 	Store    fleet.Store
+	// Pause detects pauses of the process; nil means with the clock of the system.
+	Pause *lifecycle.PauseDetector
 	// Fleet is the fleet node; nil means a new one made from the settings.
 	Fleet Fleet
 	// Listen opens the UDP sockets; nil means sockets of the operating system.
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -41,7 +41,7 @@
 // noRoute handles an opening packet for an address without a route. It resets the
 // flow only if the configuration was verified recently.
 func (r *Router) noRoute(now time.Time, k flow.Key) {
-	if now.Sub(r.verifiedAt) > verifiedConfigAge {
+	if now.Sub(r.verifiedAt) > verifiedConfigAge || r.paused() {
 		r.report(Decision{Kind: DecisionNoRoute, Reason: "configuration-old", Key: k})
 		return
 	}
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -157,6 +157,7 @@
 	lookupsInTick        int                              // queries to replicas since the last tick
 	out                  Outbox
 	observe              Observer
+	paused               func() bool // reports whether the process was paused since the last tick
 	maxAge               time.Duration
 	verifiedAt           time.Time
 	agentsChanged        time.Time // when the last new agent was added to the view
@@ -177,6 +178,7 @@
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
 		out:                  out,
 		observe:              observe,
+		paused:               func() bool { return false },
 		maxAge:               maxAge,
 	}
 }
@@ -184,6 +186,10 @@
 // Flows returns the number of known flows.
 func (r *Router) Flows() int { return len(r.flows) }
 
+// SetPaused sets the function that reports whether the process was paused since the last
+// tick, so that the time of the last verification says nothing.
+func (r *Router) SetPaused(paused func() bool) { r.paused = paused }
+
 // SetVerifiedAt records when the configuration was last verified as the store's
 // latest.
 func (r *Router) SetVerifiedAt(at time.Time) { r.verifiedAt = at }
