Open a connection for each call to an upstream and to the store

Cause: a server may send a second copy of an answer, late. On a connection that is in use again by then, Go's transport takes it for the answer to the next request. Idempotent requests to upstreams and all calls to the store reused them. Relays between agents are HTTP/2 streams and can't be mixed up; passed-through flows are not read at all.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -177,3 +178,37 @@
 	_, err = io.ReadAll(long.reader())
 	is.True(errors.Is(err, errBodyDiscarded))
 }
+
+// repeatingUpstream answers each request on a connection that it takes over. When
+// another request comes on the same connection, it first sends the last answer once
+// more, as a server does whose write was repeated by mistake.
+var repeatingUpstream = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	var last string
+	for err == nil {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, last)
+		last = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		_, _ = io.WriteString(conn, last)
+		r, err = http.ReadRequest(buffered.Reader)
+	}
+})
+
+// A second copy of an answer that arrives late must not reach the next caller.
+func TestLateSecondAnswerReachesNobody(t *testing.T) {
+	inBubble(t, func(b *testBench) {
+		c := b.mustDial()
+		for i := range 5 {
+			path := fmt.Sprintf("/x/%d", i)
+			status, text, _, err := c.fetch("GET", path, nil)
+			b.is.NoErr(err)
+			b.is.Equal(status, 200)
+			b.is.Equal(text, path)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}, repeatingUpstream)
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -13,40 +13,25 @@
 	"crocusnotch/internal/request"
 )
 
-const (
-	upstreamIdleTimeout = 10 * time.Second
-	upstreamIdleConns   = 256
-)
-
 // upstreamClient sends requests to the upstream over HTTP/1.1.
 type upstreamClient struct {
-	address atomic.Pointer[netip.AddrPort] // nil before the first announcement
-	// pooled reuses connections. fresh opens a connection for each request, so
-	// that a non-idempotent request is never sent on a connection that the
-	// upstream closes at the same time.
-	pooled *http.Transport
-	fresh  *http.Transport
+	address   atomic.Pointer[netip.AddrPort] // nil before the first announcement
+	transport *http.Transport
 }
 
+// newUpstreamClient returns a client that opens a connection for each request. On a
+// reused one, a late second copy of a response would be taken for the response to the
+// next request, and a non-idempotent request could be sent while the upstream closes
+// it. The upstream is on the same instance, so a connection costs little.
 func newUpstreamClient(n Network) *upstreamClient {
-	u := &upstreamClient{
-		pooled: upstreamTransport(n),
-		fresh:  upstreamTransport(n),
-	}
-	u.pooled.MaxIdleConnsPerHost = upstreamIdleConns
-	u.pooled.IdleConnTimeout = upstreamIdleTimeout
-	u.fresh.DisableKeepAlives = true
-	return u
-}
-
-func upstreamTransport(n Network) *http.Transport {
-	return &http.Transport{
+	return &upstreamClient{transport: &http.Transport{
 		DialContext:            dialFunc(n),
 		DisableCompression:     true,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         streamBufferSize,
 		WriteBufferSize:        streamBufferSize,
-	}
+	}}
 }
 
 func (u *upstreamClient) setAddress(a netip.AddrPort) { u.address.Store(&a) }
@@ -58,7 +43,7 @@
 		return request.Result{Outcome: request.OutcomeNotRun, Reason: request.ReasonUpstreamFailed}
 	}
 	a := attempt{
-		transport:      u.pooled,
+		transport:      u.transport,
 		outbound:       x.outboundRequest("http", to.String()),
 		atMostOnce:     x.atMostOnce,
 		stream:         x.stream,
@@ -67,9 +52,6 @@
 		notRunReason:   request.ReasonUpstreamFailed,
 		unknownReason:  request.ReasonUpstreamFailed,
 	}
-	if x.atMostOnce {
-		a.transport = u.fresh
-	}
 	return a.run(ctx, x.response)
 }
 
@@ -123,8 +105,7 @@
 }
 
 func (u *upstreamClient) close() {
-	u.pooled.CloseIdleConnections()
-	u.fresh.CloseIdleConnections()
+	u.transport.CloseIdleConnections()
 }
 
 func dialFunc(n Network) func(context.Context, string, string) (net.Conn, error) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -75,7 +76,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.HTTP == nil {
-		o.HTTP = &http.Client{}
+		o.HTTP = &http.Client{Transport: NewTransport(0)}
 	}
 	o.CallTimeout = cmp.Or(o.CallTimeout, defaultCallTimeout)
 	o.Attempts = cmp.Or(o.Attempts, defaultAttempts)
@@ -92,6 +93,18 @@
 	return o
 }
 
+// NewTransport returns a transport that opens a connection for each call, within
+// dialTimeout if that is not 0. Responses do not say which call they answer: on a
+// reused connection, a late second copy of one would be taken for the next response.
+// Connections that went silent are not used again either.
+func NewTransport(dialTimeout time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
 func fullJitter(d time.Duration) time.Duration {
 	return time.Duration(rand.Int64N(int64(d) + 1))
 }
