Bound what is kept of flows and agents, and mend what reading showed

- flow.Admission kept the time of every admitted flow until a cold start, and flow.Placement the load of every agent ever seen: memory grew with churn (TestAdmissionAndPlacementStayBounded, a simulated month; both are now pruned).
- Agents that joined received the entries that rank lowest for them, and chose watchers that rank highest (TestSnapshotForAgentHasItsWatchers).
- The kind of verification messages had no name in the metrics (TestKindsHaveNames).

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -400,3 +400,23 @@
 	is.Equal(announce(again), AnnounceChanged)
 	is.Equal(u.State(start, time.Minute), UpstreamWarm)
 }
+
+// Flows are admitted and agents come and go for a simulated month: what is kept about
+// them stays bounded, also for an upstream that is never in cold start.
+func TestAdmissionAndPlacementStayBounded(t *testing.T) {
+	is := is.New(t)
+	var a Admission
+	p := NewPlacement("z1")
+	now := start
+	request := AdmissionRequest{State: UpstreamWarm, ServiceMatches: true, Slots: 5}
+	for i := range 30 * 24 * 60 { // a flow and a new agent each minute
+		now = now.Add(time.Minute)
+		is.Equal(a.Admit(now, request), RefusalNone)
+		p.Report(now, testEndpoint(i), Load{Busy: 1})
+		if i%10 == 0 {
+			p.Retain(func(e Endpoint) bool { return e == testEndpoint(i) })
+		}
+	}
+	is.True(len(a.openings) <= 1)
+	is.True(len(p.loads) <= 10)
+}
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -85,6 +85,7 @@
 	case !r.AllowBusy && r.Busy >= r.Slots+maxWaitingRequests:
 		return RefusalBusy
 	}
+	a.expire(now)
 	a.openings = append(a.openings, now)
 	return RefusalNone
 }
--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -69,6 +70,12 @@
 	a.report, a.reportedAt, a.openings = l, now, 0
 }
 
+// Retain removes the records of all agents but those that keep reports, such as those
+// that have left the fleet.
+func (p *Placement) Retain(keep func(Endpoint) bool) {
+	maps.DeleteFunc(p.loads, func(a Endpoint, _ *agentLoad) bool { return !keep(a) })
+}
+
 // Avoid records that the agent did not answer an opening packet.
 func (p *Placement) Avoid(now time.Time, agent Endpoint) {
 	p.load(agent).avoidUntil = now.Add(avoidDuration)
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -1,9 +1,11 @@
 package membership
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -210,3 +212,25 @@
 	c.expireProbes(late.Add(2 * c.timing.ProbeTimeout))
 	is.Equal(c.table.get(suspect.Addr).State, StateDead)
 }
+
+func TestKindsHaveNames(t *testing.T) {
+	is := is.New(t)
+	for k := KindHeartbeat; k < kindEnd; k++ {
+		is.True(k.String() != "" && !strings.HasPrefix(k.String(), "kind"))
+	}
+}
+
+// An agent that joins receives the entries from which it chooses its watchers.
+func TestSnapshotForAgentHasItsWatchers(t *testing.T) {
+	is := is.New(t)
+	entry, agent := testCore(RoleEntry, 1), testCore(RoleAgent, 500)
+	for n := 2; n < 60; n++ {
+		entry.Merge(testStart, []Record{testRecord(n, RoleEntry, StateReady, 10, 1)}, nil)
+	}
+	records, _, _ := entry.Snapshot(SnapshotQuery{Agent: true, Address: agent.self.Addr})
+	ranked := entry.table.entries
+	best := slices.MaxFunc(ranked, func(x, y *member) int {
+		return cmp.Compare(rendezvous(agent.self.Addr, x.Addr), rendezvous(agent.self.Addr, y.Addr))
+	})
+	is.True(slices.ContainsFunc(records, func(r Record) bool { return r.Addr == best.Addr }))
+}
--- a/internal/membership/names.go
+++ b/internal/membership/names.go
@@ -24,7 +24,7 @@
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	names := [...]string{"", "heartbeat", "reply", "push", "ping", "ack", "ping-request", "digest", "listing", "want"}
+	names := [...]string{"", "heartbeat", "reply", "push", "ping", "ack", "ping-request", "digest", "listing", "want", "verified"}
 	if int(k) < len(names) {
 		return names[k]
 	}
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -67,8 +67,8 @@
 	return records, objects, next
 }
 
-// snapshotForAgent returns the entries with the lowest rendezvous hashes for the
-// agent, the live agents of its service and the objects in its scope.
+// snapshotForAgent returns the entries with the highest rendezvous hashes for the
+// agent, among which it chooses its watchers, the live agents of its service and the objects in its scope.
 func (c *Core) snapshotForAgent(q SnapshotQuery) (records []Record, objects []config.Object, next int) {
 	if !isIPv4(q.Address) {
 		return nil, nil, 0
@@ -79,7 +79,7 @@
 		entries = append(entries, m.Record)
 	}
 	slices.SortFunc(entries, func(x, y Record) int {
-		return cmp.Compare(rendezvous(q.Address, x.Addr), rendezvous(q.Address, y.Addr))
+		return cmp.Compare(rendezvous(q.Address, y.Addr), rendezvous(q.Address, x.Addr))
 	})
 	records = entries[:min(len(entries), maxKnownEntries/2)]
 	if g := c.table.services[q.Service]; g != nil && q.Service != 0 {
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -341,6 +341,7 @@
 	if now.Sub(r.lastSweep) >= sweepPeriod {
 		r.lastSweep = now
 		r.sweep(now)
+		r.placement.Retain(r.mayOwn)
 	}
 }
 
--- a/internal/platform/commands.go
+++ b/internal/platform/commands.go
@@ -103,23 +103,29 @@
 		return c.readBack(ctx, w, retryReason(res, err))
 	}
 	switch {
-	case res.Status == http.StatusOK && w.restoredSince(res.Era):
+	case succeeded(res) && w.restoredSince(res.Era):
 		// The condition held by chance, for a revision that was given out again.
 		return attempt{final: true, err: uncertain(ErrRestored)}
-	case res.Status == http.StatusOK:
+	case succeeded(res):
+		res.Status = http.StatusOK
 		o, err := c.object(w.ID, res)
 		if err != nil {
 			return c.readBack(ctx, w, "undecodable")
 		}
 		return attempt{final: true, object: o}
 	case c.opts.Protocol.Conflict(res):
-		return c.conflict(w, res, responseLost)
+		return c.conflict(ctx, w, res, responseLost)
 	case res.Status == http.StatusTooManyRequests:
 		return attempt{reason: retryReason(res, nil)}
 	}
 	return attempt{final: true, err: errors.Errorf("platform: store refused the write: status %d", res.Status)}
 }
 
+// succeeded reports whether the store applied a write. It may answer 201 to a creation.
+func succeeded(res Response) bool {
+	return res.Status == http.StatusOK || res.Status == http.StatusCreated
+}
+
 // readBack reads the object to determine whether a write whose response was lost was
 // applied.
 func (c *Client) readBack(ctx context.Context, w Write, reason string) attempt {
@@ -150,9 +156,14 @@
 
 // conflict handles a failed precondition. After a lost response, the conflict may be
 // caused by an earlier attempt of the same write.
-func (c *Client) conflict(w Write, res Response, responseLost bool) attempt {
+func (c *Client) conflict(ctx context.Context, w Write, res Response, responseLost bool) attempt {
 	var current *config.Object
-	if o, err := c.object(w.ID, res); err == nil && o.Revision != 0 && !o.Deleted {
+	o, err := c.object(w.ID, res)
+	switch {
+	case err != nil:
+		// The response does not say whether the object exists.
+		return c.readBack(ctx, w, "undecodable")
+	case o.Revision != 0 && !o.Deleted:
 		current = &o
 	}
 	if responseLost && w.applied(current) {
