Let no request run on a lease that ended during a suspension

Cause: the monotonic clock stands still while an instance is suspended, so the lease of the upstream's announcement still looked valid on resume and waiting requests ran at an upstream that may have left.

Shown by TestSuspendedAgentRunsNothingOnItsLease, which fails without the wait.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,6 +37,8 @@
 	// Incarnation identifies this start of the process; 0 means the current
 	// time in Unix milliseconds.
 	Incarnation uint64
+	// Pause detects pauses of the process; nil means with the clock of the system.
+	Pause *lifecycle.PauseDetector
 }
 
 // Agent is one running agent.
@@ -80,6 +82,9 @@
 	if d.Incarnation == 0 {
 		d.Incarnation = uint64(time.Now().UnixMilli())
 	}
+	if d.Pause == nil {
+		d.Pause = lifecycle.NewPauseDetector()
+	}
 	a := &Agent{
 		settings:    s,
 		deps:        d,
@@ -143,6 +148,7 @@
 		relays:      a.relays,
 		metrics:     a.metrics,
 		self:        self.String(),
+		paused:      a.deps.Pause.Paused,
 		baseContext: base,
 	}
 	a.relayServer = newRelayServer(a.driver, a.handler.peerHandler(), a.deps.TLS)
--- a/internal/agent/announce_test.go
+++ b/internal/agent/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/request"
 	"crocusnotch/internal/wire"
 )
 
@@ -58,6 +60,34 @@
 	}, echo)
 }
 
+// An agent whose instance is suspended for longer than the lease resumes with requests
+// waiting. Its clock stood still, but the upstream may have left or turned cold
+// meanwhile: no request runs before the upstream announces itself again.
+func TestSuspendedAgentRunsNothingOnItsLease(t *testing.T) {
+	var runs atomic.Int32
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		echo(w, r)
+	})
+	inBubble(t, func(b *testBench) {
+		c := b.mustDial()
+		status, _, _, err := c.fetch("GET", "/x", nil)
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+		b.agents[0].stopAnnouncing()
+		b.suspended.Add(int64(announceLease + time.Second))
+		status, _, h, err := c.fetch("GET", "/x", nil)
+		b.is.NoErr(err)
+		b.is.Equal(status, 503)
+		b.is.Equal(h.Get(request.HeaderOutcome), "not-run")
+		b.is.Equal(int(runs.Load()), 1)
+		b.announce(b.agents[0], "warm", 5)
+		status, _, _, err = c.fetch("GET", "/x", nil)
+		b.is.NoErr(err)
+		b.is.Equal(status, 200)
+	}, counted)
+}
+
 // TestServiceUnknownAtFirst announces an upstream before the configuration
 // arrives.
 func TestServiceUnknownAtFirst(t *testing.T) {
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/request"
 )
 
@@ -15,6 +16,11 @@
 // engine refuses keys that are longer than request.MaxKeyBytes.
 const maxKeySize = 1 << 10
 
+// resumePollInterval is the interval at which a request that arrived during a pause of
+// the process checks whether the loop has handled the pause, which takes up to
+// tickInterval.
+const resumePollInterval = 5 * time.Millisecond
+
 // requestHandler serves the requests of callers and of peer agents.
 type requestHandler struct {
 	driver   *driver
@@ -23,6 +29,9 @@
 	relays   *relayClient
 	metrics  *metrics
 	self     string // this agent's reference, sent to callers as the owner
+	// paused reports whether the process was paused and the loop has not yet expired
+	// what ran out meanwhile.
+	paused func() bool
 	// baseContext ends with the process. Attempts use it because they may
 	// continue after the caller has disconnected.
 	baseContext context.Context
@@ -76,6 +85,8 @@
 		// Returning would send an empty response with status 200.
 		panic(http.ErrAbortHandler)
 	}
+	for h.paused() && lifecycle.Sleep(r.Context(), resumePollInterval) {
+	}
 	h.driver.submit(x, q)
 	stop := context.AfterFunc(r.Context(), func() { h.driver.cancelled(x.id) })
 	defer stop()
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -229,6 +229,11 @@
 // tick expires the upstream's lease and the return paths, and publishes the state.
 func (l *loop) tick() {
 	now := time.Now()
+	if gap := l.agent.deps.Pause.Beat(); gap > 0 {
+		// The clock may have stood still during the pause.
+		l.leaseUntil = l.leaseUntil.Add(-gap)
+		l.agent.deps.Log.Warn("resumed after a pause", "paused_ms", gap.Milliseconds())
+	}
 	if l.hasUpstream() && now.After(l.leaseUntil) {
 		what := fmt.Sprintf("upstream %s %s to absent", l.upstream.Address, l.upstream.stateName())
 		l.recordUpstreamEvent(what, "its lease expired")
--- a/internal/agent/testbench_test.go
+++ b/internal/agent/testbench_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/explain"
+	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/membership"
 	"crocusnotch/internal/wire"
 )
@@ -31,6 +33,8 @@
 	agents          []*testAgent
 	callers         []*caller
 	lastIncarnation uint64
+	pause           *lifecycle.PauseDetector // of all agents
+	suspended       atomic.Int64             // nanoseconds by which the clock of pause is ahead
 }
 
 // testAgent is an agent with its upstream.
@@ -71,6 +75,10 @@
 		net:     newMemoryNetwork(testRing(1), 7),
 		cluster: &fakeCluster{config: testConfig(1, false), members: map[netip.AddrPort]membership.Record{}},
 	}
+	started := time.Now()
+	b.pause = lifecycle.NewPauseDetectorWithClock(func() time.Duration {
+		return time.Since(started) + time.Duration(b.suspended.Load())
+	})
 	for i := range 3 {
 		e := &testEntry{addr: addr(100+i, 1)}
 		b.net.entries = append(b.net.entries, e)
@@ -138,7 +146,7 @@
 	a.Agent, err = New(s, Deps{
 		Log: slog.New(slog.DiscardHandler), Registry: newTestRegistry(),
 		TLS: wire.NewMutualTLS(testCert, testPool()), CallerCert: &testCert,
-		Fleet: f, Network: b.net, Incarnation: b.lastIncarnation,
+		Fleet: f, Network: b.net, Incarnation: b.lastIncarnation, Pause: b.pause,
 	})
 	b.is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
