--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -212,3 +213,25 @@
 		}
 	}, repeatingUpstream)
 }
+
+// A response whose end is only the end of its connection may have been cut: it never
+// reaches the caller as a success.
+func TestResponseWithoutAnEndIsNoSuccess(t *testing.T) {
+	upstream := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart of")
+		_ = conn.Close()
+	})
+	inBubble(t, func(b *testBench) {
+		c := b.mustDial()
+		for i, method := range []string{"GET", "POST"} {
+			status, _, h, err := c.fetch(method, "/x", nil, "Idempotency-Key", strconv.Itoa(i))
+			b.is.NoErr(err)
+			b.is.True(status != 200)
+			b.is.Equal(h.Get(request.HeaderOutcome), "unknown")
+		}
+	}, upstream)
+}
