Don't let flows wait for machines that vanished after a restart

An agent that restarted a second ago or more, has announced no upstream and has left three queries unanswered for 0.6 s is not waited for. Agents with an announced upstream, and those that answer, are waited for as before. An agent denies a flow whose probe its upstream did not return.

Shown by TestFlowsDoNotWaitForVanishedMachines (15, 62, 200 agents) and TestUnreturnedProbeIsDenied, which fail on the earlier code.

--- a/internal/passthrough/keeper.go
+++ b/internal/passthrough/keeper.go
@@ -285,6 +285,8 @@
 		return HoldingOwned
 	case f == nil && (t.allFlowsKnown(now) || t.returnedRecently(now, k)):
 		return HoldingNone
+	case f != nil && f.state == trackedProbing && t.timedOut:
+		return HoldingNone // its upstream did not return the probe
 	}
 	return HoldingUnknown
 }
--- a/internal/passthrough/keeper_test.go
+++ b/internal/passthrough/keeper_test.go
@@ -252,3 +252,21 @@
 	}
 	is.Equal(reported, []string{DecisionFailing, DecisionRecovered})
 }
+
+// An agent whose upstream does not return a probe denies the probed flow too, not only
+// those that it has not probed.
+func TestUnreturnedProbeIsDenied(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 2, 6)
+	a := sim.agents[0]
+	a.upstream.down = true
+	a.start()
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
+	packet := makePacket(k.Caller(), k.Route(), 16, 8, 9, 100)
+	codec.SetMetadata(packet, flow.Metadata{Purpose: flow.PurposeSearch, Service: a.tracker.serviceTag})
+	s, _ := codec.Decode(packet)
+	a.tracker.Packet(sim.now, sim.entries[0].addr, &s, packet)
+	is.Equal(a.tracker.holding(sim.now, k, sim.entries[0].addr), HoldingUnknown)
+	sim.advance(probeTimeout + 2*tickPeriod)
+	is.Equal(a.tracker.holding(sim.now, k, sim.entries[0].addr), HoldingNone)
+}
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -82,6 +82,7 @@
 	// of the agent.
 	Announced   bool
 	Incarnation uint64
+	Since       time.Time // when this process of the agent was first seen
 }
 
 // Outbox sends the packets and messages of a Router.
@@ -153,8 +154,9 @@
 	searching            map[flow.Key]*routedFlow
 	pendingRegistrations map[flow.Endpoint][]Registration // by replica
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
-	searchesInTick       int                              // searches that queried agents since the last tick
-	lookupsInTick        int                              // queries to replicas since the last tick
+	silences             silences
+	searchesInTick       int // searches that queried agents since the last tick
+	lookupsInTick        int // queries to replicas since the last tick
 	out                  Outbox
 	observe              Observer
 	paused               func() bool // reports whether the process was paused since the last tick
@@ -176,6 +178,7 @@
 		searching:            map[flow.Key]*routedFlow{},
 		pendingRegistrations: map[flow.Endpoint][]Registration{},
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
+		silences:             silences{},
 		out:                  out,
 		observe:              observe,
 		paused:               func() bool { return false },
@@ -289,6 +292,7 @@
 
 // Message handles a message from an agent or another entry.
 func (r *Router) Message(now time.Time, from flow.Endpoint, m *Message) {
+	r.silences.heard(from)
 	switch m.Kind {
 	case KindOwned:
 		r.handleOwned(now, from, m)
@@ -342,6 +346,7 @@
 		r.lastSweep = now
 		r.sweep(now)
 		r.placement.Retain(r.mayOwn)
+		r.silences.retain(r.mayOwn)
 	}
 }
 
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -217,7 +217,7 @@
 	for _, agent := range r.view.OwnerAddrs {
 		if agent != except && (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) {
 			f.queried++
-			r.queryAgent(agent, k, f)
+			r.queryAgent(now, agent, k, f)
 		}
 	}
 	r.searchesInTick++
@@ -256,8 +256,9 @@
 
 // queryAgent queries an agent whether it owns the flow, immediately or at the next
 // tick.
-func (r *Router) queryAgent(agent flow.Endpoint, k flow.Key, f *routedFlow) {
+func (r *Router) queryAgent(now time.Time, agent flow.Endpoint, k flow.Key, f *routedFlow) {
 	if r.searchesInTick < maxDirectSearches {
+		r.silences.queried(now, agent)
 		r.out.Query(agent, r.metadata(k, flow.PurposeQuery, agent), f.searchPacket)
 		return
 	}
@@ -268,6 +269,7 @@
 func (r *Router) flushQueries(now time.Time) {
 	r.searchesInTick, r.lookupsInTick = 0, 0
 	for _, agent := range slices.SortedFunc(maps.Keys(r.pendingQueries), flow.Endpoint.Compare) {
+		r.silences.queried(now, agent)
 		for keys := range slices.Chunk(r.pendingQueries[agent], maxQueries) {
 			for _, k := range keys {
 				if f := r.searching[k]; f != nil && f.stage == flow.ReplicaCount {
@@ -316,7 +318,7 @@
 		r.abandonSearch(now, k, f, "")
 		return
 	}
-	unanswered := r.agentsWithoutReply(f)
+	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool { return r.isSilent(now, a) })
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
 		r.concludeUnowned(k, f)
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -253,10 +253,9 @@
 	}
 }
 
-// A machine whose upstream has left comes back for a moment after a loss of power
-// (scenario scale_in before power_off_all) and never answers again. Flows that all
-// other agents denied are reset as soon as it no longer counts as an owner: the
-// earlier denials stay valid and no further packet of the caller is needed.
+// A machine whose agent has an announced upstream does not answer. Flows that all other
+// agents denied are reset as soon as it no longer counts as an owner, and not before:
+// the earlier denials stay valid and no further packet of the caller is needed.
 func TestResetFollowsRemovalOfSilentAgent(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(t.Fatalf, 2, 30)
@@ -278,3 +277,81 @@
 	sim.advance(2 * tickPeriod)
 	is.Equal(e.router.flows[k].state, stateUnowned)
 }
+
+// Machines whose upstreams have left come back for a moment after a loss of power
+// (scenario release or scale_in before power_off_all), join and never answer again. The
+// flows of all callers wait for them; those are reset, so that callers return, before
+// the deadline of most has passed. An agent that answers, or whose upstream has
+// announced itself, is waited for.
+func TestFlowsDoNotWaitForVanishedMachines(t *testing.T) {
+	const within = silentMinAge + silentAfter
+	for name, tt := range map[string]struct {
+		vanished, announced bool
+		wantReset           bool
+	}{
+		"vanished, no upstream announced": {vanished: true, wantReset: true},
+		"vanished, upstream announced":    {vanished: true, announced: true},
+		"answers, no upstream announced":  {},
+	} {
+		for _, agents := range []int{15, 62, 200} {
+			t.Run(fmt.Sprint(name, " ", agents), func(t *testing.T) {
+				is := is.New(t)
+				sim := newSimulation(t.Fatalf, 2, agents)
+				sim.advance(5 * time.Second)
+				back := sim.addAgent(900, "alpha")
+				back.upstream.down = true // returns no probe
+				back.start()
+				back.tracker.Started = sim.now.Add(time.Hour) // its probes do not time out in this test
+				if tt.announced {
+					back.upstream.down = false
+					back.announce()
+					back.upstream.down = true
+				}
+				back.removed = tt.vanished
+				sim.syncViews()
+				e := sim.entries[0]
+				if !tt.vanished {
+					e.router.out = &mayHold{Outbox: e, agent: back.addr, router: e.router, now: func() time.Time { return sim.now }}
+				}
+				var keys []flow.Key
+				for i := range 20 {
+					k := flow.KeyOf(flow.EndpointOf(addrOf(9, i)), flow.EndpointOf(routeA))
+					keys = append(keys, k)
+					sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+				}
+				sim.deliverAll()
+				sim.advance(within + 3*tickPeriod)
+				for _, k := range keys {
+					is.Equal(e.router.flows[k].state == stateUnowned, tt.wantReset)
+				}
+			})
+		}
+	}
+}
+
+// mayHold answers queries to one agent as an agent does that can't tell.
+type mayHold struct {
+	Outbox
+	agent  flow.Endpoint
+	router *Router
+	now    func() time.Time
+}
+
+func (m *mayHold) SendMessage(to flow.Endpoint, msg *Message) {
+	if to != m.agent {
+		m.Outbox.SendMessage(to, msg)
+		return
+	}
+	for _, k := range msg.Queries {
+		m.router.Message(m.now(), m.agent, &Message{Kind: KindMayHold, Key: k})
+	}
+}
+
+func (m *mayHold) Query(agent flow.Endpoint, meta flow.Metadata, packet []byte) {
+	if agent != m.agent {
+		m.Outbox.Query(agent, meta, packet)
+		return
+	}
+	s, _ := codec.Decode(packet)
+	m.router.Message(m.now(), m.agent, &Message{Kind: KindMayHold, Key: s.KeyFromCaller()})
+}
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -165,7 +165,7 @@
 		case o.slots == 0 && now.Sub(o.firstSeen) > firstAnnouncementTimeout:
 			continue // its upstream has never announced itself
 		}
-		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Incarnation: o.incarnation}
+		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Incarnation: o.incarnation, Since: o.firstSeen}
 		v.OwnerAddrs = append(v.OwnerAddrs, addr)
 	}
 	slices.SortFunc(v.OwnerAddrs, flow.Endpoint.Compare)
