Let callers of flows without an owner come back at the pace of the upstreams

Entries now reset such flows at a rate of the upstreams' slots divided by the entries, rounded up: 0.3 a tick for each slot.

--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -138,6 +138,7 @@
 	replicaHasPacket bool      // the queried replica received the packet too, and forwards it to the owner
 	queued           [][]byte  // packets received during the search
 	resetSeq         uint32    // sequence number for a reset of the flow
+	resetPending     bool      // of a flow without an owner: its reset has not been sent yet
 	stageStart       time.Time // start of the placement or of the stage of the search
 	probedAt         time.Time // when agents last received the packet of the search
 	openedAt         time.Time
@@ -155,6 +156,7 @@
 	pendingRegistrations map[flow.Endpoint][]Registration // by replica
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
 	silences             silences
+	returns              returns
 	searchesInTick       int // searches that queried agents since the last tick
 	lookupsInTick        int // queries to replicas since the last tick
 	out                  Outbox
@@ -203,6 +205,7 @@
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
 	r.recordStartedAgents(now, v)
 	r.view = v
+	r.setReturnRate()
 	if !entriesChanged {
 		return
 	}
@@ -257,7 +260,7 @@
 			r.startSearch(now, k, f, packet)
 		}
 	case stateUnowned:
-		if !s.Reset {
+		if !s.Reset && !f.resetPending {
 			r.out.Reset(k, s.Ack)
 		}
 	}
@@ -340,6 +343,7 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
 		f.stage = stageAwaitAgents
 	}
+	r.resetUnowned()
 	r.flushRegistrations()
 	r.flushQueries(now)
 	if now.Sub(r.lastSweep) >= sweepPeriod {
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -51,13 +51,14 @@
 	r.concludeUnowned(k, f)
 }
 
-// concludeUnowned resets a flow that all agents denied.
+// concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
+// its turn.
 func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
 	delete(r.searching, k)
 	f.searchPacket, f.queued = nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
-	f.state = stateUnowned
-	r.out.Reset(k, f.resetSeq)
+	f.state, f.resetPending = stateUnowned, true
+	r.returns.add(k)
 }
 
 // agentsSettled reports whether no agent was added recently, so that the known ones
