--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -61,17 +61,10 @@
 	counting := &countingConn{Conn: conn, n: n}
 	_ = conn.SetDeadline(time.Now().Add(controlConnTimeout))
 	handler := jsonrpc2.HandlerWithError(n.handleRPC).SuppressErrClosed()
-	rpc := jsonrpc2.NewConn(ctx, wire.RPCStream(counting), handler, jsonrpc2.SetLogger(discardLogger{}))
+	rpc := jsonrpc2.NewConn(ctx, wire.RPCStream(counting), handler, wire.DiscardLog)
 	<-rpc.DisconnectNotify()
 }
 
-// discardLogger drops the log lines of the jsonrpc2 library: errors of peers are
-// not state changes of this process.
-type discardLogger struct{}
-
-// Printf implements jsonrpc2.Logger.
-func (discardLogger) Printf(string, ...any) {}
-
 // countingConn counts the bytes read and written on a control connection.
 type countingConn struct {
 	net.Conn
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -10,173 +10,29 @@
 
 // handleNotHeld handles an agent's message that it does not hold a flow: the answer
 // to a search, or the start of one if the agent was the flow's owner.
-func (r *Router) handleNotHeld(now time.Time, from flow.Endpoint, m *Message) {
-	f := r.flows[m.Key]
-	if f != nil && f.state == stateSearching && f.stage >= flow.ReplicaCount {
-		r.handleDenied(now, from, m.Key, f)
-		return
-	}
-	if f == nil || f.owner != from || len(m.Packet) == 0 {
-		return
-	}
-	r.report(Decision{Kind: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.openedAt)})
-	f.owner = flow.Endpoint{}
-	f.searchPacket = append(f.searchPacket[:0], m.Packet...)
-	f.state = stateSearching
-	r.searching[m.Key] = f
-	r.queryAgents(now, m.Key, f, from)
-}
-
 // handleDenied records an agent that does not own a flow. When all agents have denied
 // it, the flow is reset, so that its caller need not wait for a deadline.
-func (r *Router) handleDenied(now time.Time, from flow.Endpoint, k flow.Key, f *routedFlow) {
-	a, _ := f.replyFrom(from)
-	if a.state == replyDenied {
-		return
-	}
-	a.state = replyDenied
-	if f.denials() < f.queried {
-		r.probe(now, k, f)
-		return
-	}
-	if !f.queriedAll {
-		r.queryOtherAgents(now, k, f)
-		return
-	}
-	if !r.agentsSettled(now) {
-		f.stage = stageAwaitAgents
-		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
-		return
-	}
-	r.concludeUnowned(k, f)
-}
-
 // concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
 // its turn.
-func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
-	delete(r.searching, k)
-	f.searchPacket, f.queued = nil, nil
-	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
-	f.state, f.resetPending = stateUnowned, true
-	r.returns.add(k)
-}
-
 // agentsSettled reports whether no agent was added recently, so that the known ones
 // are all that can own a flow. Removed agents cannot own any.
-func (r *Router) agentsSettled(now time.Time) bool {
-	return !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
-}
-
 // handleMayHold records an agent that cannot determine without its upstream whether
 // it owns the flow.
-func (r *Router) handleMayHold(now time.Time, from flow.Endpoint, m *Message) {
-	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage != flow.ReplicaCount {
-		return
-	}
-	a, first := f.replyFrom(from)
-	if !first {
-		return
-	}
-	if !r.routeHasService(m.Key, r.view.Owners[from].Service) {
-		a.state = replyNotProbeable
-	}
-	r.probe(now, m.Key, f)
-}
-
 // probe sends the packet of a search to agents that cannot answer without their
 // upstreams, once all agents with an upstream have answered: one that has not may
 // be the owner, and the packets would reach only other upstreams.
-func (r *Router) probe(now time.Time, k flow.Key, f *routedFlow) {
-	waiting := func(a reply) bool { return a.state == replyUnknown && a.hasPacket }
-	if !slices.ContainsFunc(f.replies, waiting) {
-		r.probeNext(now, k, f)
-	}
-}
-
 // probeNext sends the packet to the agents of one availability zone that have not
 // received it, starting with the local zone, where most flows are placed. Sending
 // it to all agents at once would saturate the links of small instances when many
 // flows are searched for, as after all processes were killed. ok is false when no
 // agent is left.
-func (r *Router) probeNext(now time.Time, k flow.Key, f *routedFlow) (ok bool) {
-	zone, ok := r.nextZone(f)
-	if !ok || f.stage != flow.ReplicaCount || r.ownerReplyMissing(k, f) {
-		return false
-	}
-	f.stageStart, f.probedAt = now, now
-	for i := range f.replies {
-		a := &f.replies[i]
-		switch {
-		case a.state != replyUnknown:
-		case a.hasPacket:
-			a.state = replyProbeTimeout
-		case r.view.Owners[a.agent].Zone == zone:
-			a.hasPacket = true
-			r.out.Forward(a.agent, r.metadata(k, flow.PurposeSearch, a.agent), f.searchPacket)
-		}
-	}
-	return true
-}
-
 // nextZone returns the zone whose agents receive the packet next: the local one, or
 // that of the first agent that has not received it. ok is false when there is none.
-func (r *Router) nextZone(f *routedFlow) (zone string, ok bool) {
-	for _, a := range f.replies {
-		if a.state != replyUnknown || a.hasPacket {
-			continue
-		}
-		if z := r.view.Owners[a.agent].Zone; !ok || z == r.zone {
-			zone, ok = z, true
-		}
-	}
-	return zone, ok
-}
-
 // replyFrom returns the reply of an agent and adds it if it is the first one.
-func (f *routedFlow) replyFrom(agent flow.Endpoint) (a *reply, first bool) {
-	i := f.replyIndex(agent)
-	if i < 0 {
-		i, first = len(f.replies), true
-		f.replies = append(f.replies, reply{agent: agent})
-	}
-	return &f.replies[i], first
-}
-
 // replyIndex returns the index of an agent's reply, or -1 without one.
-func (f *routedFlow) replyIndex(agent flow.Endpoint) int {
-	return slices.IndexFunc(f.replies, func(a reply) bool { return a.agent == agent })
-}
-
 // denials returns the number of agents that denied owning the flow.
-func (f *routedFlow) denials() int {
-	n := 0
-	for _, a := range f.replies {
-		if a.state == replyDenied {
-			n++
-		}
-	}
-	return n
-}
-
 // ownerReplyMissing reports whether a queried agent whose upstream has announced
 // itself has not answered yet.
-func (r *Router) ownerReplyMissing(k flow.Key, f *routedFlow) bool {
-	if len(f.replies) >= f.queried {
-		return false
-	}
-	for _, agent := range r.view.OwnerAddrs {
-		o := r.view.Owners[agent]
-		if !o.Announced || f.replyIndex(agent) >= 0 {
-			continue
-		}
-		if f.queriedAll || r.routeHasService(k, o.Service) {
-			return true
-		}
-	}
-	return false
-}
-
 // startSearch queries the replicas of the flow one after the other, then all agents.
 func (r *Router) startSearch(now time.Time, k flow.Key, f *routedFlow, packet []byte) {
 	f.state, f.stage = stateSearching, 0
@@ -284,32 +140,6 @@
 }
 
 // handleQueryReply handles an agent's answers to a query about several flows.
-func (r *Router) handleQueryReply(now time.Time, from flow.Endpoint, m *Message) {
-	for _, a := range m.Answers {
-		one := &Message{Key: a.Key, Load: m.Load}
-		switch a.Holding {
-		case HoldingOwned:
-			r.handleOwned(now, from, one)
-		case HoldingNone:
-			r.handleNotHeld(now, from, one)
-		default:
-			r.handleMayHold(now, from, one)
-		}
-	}
-}
-
-func (r *Router) handleUnknown(now time.Time, from flow.Endpoint, m *Message) {
-	f := r.flows[m.Key]
-	if f == nil || f.state != stateSearching || f.stage >= flow.ReplicaCount {
-		return
-	}
-	if flow.ReplicasOf(m.Key, r.view.Entries)[f.stage] != from {
-		return
-	}
-	f.stage++
-	r.queryNextReplica(now, m.Key, f)
-}
-
 // awaitAgents handles a search in which agents have not answered, or whose set of
 // agents is not complete yet, such as after a loss of power: the packets are kept, and
 // agents that have not answered are queried again. Denials stay valid, since an agent
--- /dev/null
+++ b/internal/passthrough/search_replies.go
@@ -0,0 +1,179 @@
+package passthrough
+
+import (
+	"slices"
+	"time"
+
+	"crocusnotch/internal/flow"
+)
+
+func (r *Router) handleNotHeld(now time.Time, from flow.Endpoint, m *Message) {
+	f := r.flows[m.Key]
+	if f != nil && f.state == stateSearching && f.stage >= flow.ReplicaCount {
+		r.handleDenied(now, from, m.Key, f)
+		return
+	}
+	if f == nil || f.owner != from || len(m.Packet) == 0 {
+		return
+	}
+	r.report(Decision{Kind: DecisionMoved, Key: m.Key, Agent: from, Age: now.Sub(f.openedAt)})
+	f.owner = flow.Endpoint{}
+	f.searchPacket = append(f.searchPacket[:0], m.Packet...)
+	f.state = stateSearching
+	r.searching[m.Key] = f
+	r.queryAgents(now, m.Key, f, from)
+}
+
+func (r *Router) handleDenied(now time.Time, from flow.Endpoint, k flow.Key, f *routedFlow) {
+	a, _ := f.replyFrom(from)
+	if a.state == replyDenied {
+		return
+	}
+	a.state = replyDenied
+	if f.denials() < f.queried {
+		r.probe(now, k, f)
+		return
+	}
+	if !f.queriedAll {
+		r.queryOtherAgents(now, k, f)
+		return
+	}
+	if !r.agentsSettled(now) {
+		f.stage = stageAwaitAgents
+		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
+		return
+	}
+	r.concludeUnowned(k, f)
+}
+
+func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
+	delete(r.searching, k)
+	f.searchPacket, f.queued = nil, nil
+	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
+	f.state, f.resetPending = stateUnowned, true
+	r.returns.add(k)
+}
+
+func (r *Router) agentsSettled(now time.Time) bool {
+	return !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
+}
+
+func (r *Router) handleMayHold(now time.Time, from flow.Endpoint, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || f.stage != flow.ReplicaCount {
+		return
+	}
+	a, first := f.replyFrom(from)
+	if !first {
+		return
+	}
+	if !r.routeHasService(m.Key, r.view.Owners[from].Service) {
+		a.state = replyNotProbeable
+	}
+	r.probe(now, m.Key, f)
+}
+
+func (r *Router) probe(now time.Time, k flow.Key, f *routedFlow) {
+	waiting := func(a reply) bool { return a.state == replyUnknown && a.hasPacket }
+	if !slices.ContainsFunc(f.replies, waiting) {
+		r.probeNext(now, k, f)
+	}
+}
+
+func (r *Router) probeNext(now time.Time, k flow.Key, f *routedFlow) (ok bool) {
+	zone, ok := r.nextZone(f)
+	if !ok || f.stage != flow.ReplicaCount || r.ownerReplyMissing(k, f) {
+		return false
+	}
+	f.stageStart, f.probedAt = now, now
+	for i := range f.replies {
+		a := &f.replies[i]
+		switch {
+		case a.state != replyUnknown:
+		case a.hasPacket:
+			a.state = replyProbeTimeout
+		case r.view.Owners[a.agent].Zone == zone:
+			a.hasPacket = true
+			r.out.Forward(a.agent, r.metadata(k, flow.PurposeSearch, a.agent), f.searchPacket)
+		}
+	}
+	return true
+}
+
+func (r *Router) nextZone(f *routedFlow) (zone string, ok bool) {
+	for _, a := range f.replies {
+		if a.state != replyUnknown || a.hasPacket {
+			continue
+		}
+		if z := r.view.Owners[a.agent].Zone; !ok || z == r.zone {
+			zone, ok = z, true
+		}
+	}
+	return zone, ok
+}
+
+func (f *routedFlow) replyFrom(agent flow.Endpoint) (a *reply, first bool) {
+	i := f.replyIndex(agent)
+	if i < 0 {
+		i, first = len(f.replies), true
+		f.replies = append(f.replies, reply{agent: agent})
+	}
+	return &f.replies[i], first
+}
+
+func (f *routedFlow) replyIndex(agent flow.Endpoint) int {
+	return slices.IndexFunc(f.replies, func(a reply) bool { return a.agent == agent })
+}
+
+func (f *routedFlow) denials() int {
+	n := 0
+	for _, a := range f.replies {
+		if a.state == replyDenied {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Router) ownerReplyMissing(k flow.Key, f *routedFlow) bool {
+	if len(f.replies) >= f.queried {
+		return false
+	}
+	for _, agent := range r.view.OwnerAddrs {
+		o := r.view.Owners[agent]
+		if !o.Announced || f.replyIndex(agent) >= 0 {
+			continue
+		}
+		if f.queriedAll || r.routeHasService(k, o.Service) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) handleQueryReply(now time.Time, from flow.Endpoint, m *Message) {
+	for _, a := range m.Answers {
+		one := &Message{Key: a.Key, Load: m.Load}
+		switch a.Holding {
+		case HoldingOwned:
+			r.handleOwned(now, from, one)
+		case HoldingNone:
+			r.handleNotHeld(now, from, one)
+		default:
+			r.handleMayHold(now, from, one)
+		}
+	}
+}
+
+func (r *Router) handleUnknown(now time.Time, from flow.Endpoint, m *Message) {
+	f := r.flows[m.Key]
+	if f == nil || f.state != stateSearching || f.stage >= flow.ReplicaCount {
+		return
+	}
+	if flow.ReplicasOf(m.Key, r.view.Entries)[f.stage] != from {
+		return
+	}
+	f.stage++
+	r.queryNextReplica(now, m.Key, f)
+}
+
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -13,6 +13,15 @@
 // ALPNControl is the TLS protocol name of the jsonrpc2 service.
 const ALPNControl = "crocus-control/1"
 
+// DiscardLog makes a connection drop the unstructured log lines of the jsonrpc2 library:
+// errors of peers are not state changes of this process, and Call returns them.
+var DiscardLog = jsonrpc2.SetLogger(discardLogger{})
+
+type discardLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discardLogger) Printf(string, ...any) {}
+
 // RPCStream frames jsonrpc2 messages on a connection with a length prefix.
 func RPCStream(c net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
@@ -26,7 +35,7 @@
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
-	conn := jsonrpc2.NewConn(ctx, RPCStream(c), noRequests{})
+	conn := jsonrpc2.NewConn(ctx, RPCStream(c), noRequests{}, DiscardLog)
 	defer func() { _ = conn.Close() }()
 	if err := conn.Call(ctx, method, params, result); err != nil {
 		return errors.Wrap(err, method)
