--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -157,6 +157,8 @@
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
 	silences             silences
 	returns              returns
+	startedAt            time.Time // when the first opening packet arrived
+	heldOpenings         heldOpenings
 	searchesInTick       int // searches that queried agents since the last tick
 	lookupsInTick        int // queries to replicas since the last tick
 	out                  Outbox
@@ -181,6 +183,7 @@
 		pendingRegistrations: map[flow.Endpoint][]Registration{},
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
 		silences:             silences{},
+		heldOpenings:         heldOpenings{},
 		out:                  out,
 		observe:              observe,
 		paused:               func() bool { return false },
@@ -206,6 +209,7 @@
 	r.recordStartedAgents(now, v)
 	r.view = v
 	r.setReturnRate()
+	r.placeHeldOpenings(now)
 	if !entriesChanged {
 		return
 	}
@@ -235,7 +239,9 @@
 	k := s.KeyFromCaller()
 	f := r.flows[k]
 	if s.Opening {
-		r.openFlow(now, k, f, s, packet)
+		if !r.holdOpening(now, k, s, packet) {
+			r.openFlow(now, k, f, s, packet)
+		}
 		return
 	}
 	if f == nil {
@@ -344,6 +350,7 @@
 		f.stage = stageAwaitAgents
 	}
 	r.resetUnowned()
+	r.placeHeldOpenings(now)
 	r.flushRegistrations()
 	r.flushQueries(now)
 	if now.Sub(r.lastSweep) >= sweepPeriod {
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -176,4 +176,3 @@
 	f.stage++
 	r.queryNextReplica(now, m.Key, f)
 }
-
