--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -8,31 +8,6 @@
 	"crocusnotch/internal/flow"
 )
 
-// handleNotHeld handles an agent's message that it does not hold a flow: the answer
-// to a search, or the start of one if the agent was the flow's owner.
-// handleDenied records an agent that does not own a flow. When all agents have denied
-// it, the flow is reset, so that its caller need not wait for a deadline.
-// concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
-// its turn.
-// agentsSettled reports whether no agent was added recently, so that the known ones
-// are all that can own a flow. Removed agents cannot own any.
-// handleMayHold records an agent that cannot determine without its upstream whether
-// it owns the flow.
-// probe sends the packet of a search to agents that cannot answer without their
-// upstreams, once all agents with an upstream have answered: one that has not may
-// be the owner, and the packets would reach only other upstreams.
-// probeNext sends the packet to the agents of one availability zone that have not
-// received it, starting with the local zone, where most flows are placed. Sending
-// it to all agents at once would saturate the links of small instances when many
-// flows are searched for, as after all processes were killed. ok is false when no
-// agent is left.
-// nextZone returns the zone whose agents receive the packet next: the local one, or
-// that of the first agent that has not received it. ok is false when there is none.
-// replyFrom returns the reply of an agent and adds it if it is the first one.
-// replyIndex returns the index of an agent's reply, or -1 without one.
-// denials returns the number of agents that denied owning the flow.
-// ownerReplyMissing reports whether a queried agent whose upstream has announced
-// itself has not answered yet.
 // startSearch queries the replicas of the flow one after the other, then all agents.
 func (r *Router) startSearch(now time.Time, k flow.Key, f *routedFlow, packet []byte) {
 	f.state, f.stage = stateSearching, 0
@@ -139,7 +114,6 @@
 	clear(r.pendingQueries)
 }
 
-// handleQueryReply handles an agent's answers to a query about several flows.
 // awaitAgents handles a search in which agents have not answered, or whose set of
 // agents is not complete yet, such as after a loss of power: the packets are kept, and
 // agents that have not answered are queried again. Denials stay valid, since an agent
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -7,6 +7,8 @@
 	"crocusnotch/internal/flow"
 )
 
+// handleNotHeld handles an agent's message that it does not hold a flow: the answer
+// to a search, or the start of one if the agent was the flow's owner.
 func (r *Router) handleNotHeld(now time.Time, from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
 	if f != nil && f.state == stateSearching && f.stage >= flow.ReplicaCount {
@@ -24,6 +26,8 @@
 	r.queryAgents(now, m.Key, f, from)
 }
 
+// handleDenied records an agent that does not own a flow. When all agents have denied
+// it, the flow is reset, so that its caller need not wait for a deadline.
 func (r *Router) handleDenied(now time.Time, from flow.Endpoint, k flow.Key, f *routedFlow) {
 	a, _ := f.replyFrom(from)
 	if a.state == replyDenied {
@@ -46,6 +50,8 @@
 	r.concludeUnowned(k, f)
 }
 
+// concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
+// its turn.
 func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
 	delete(r.searching, k)
 	f.searchPacket, f.queued = nil, nil
@@ -54,10 +60,14 @@
 	r.returns.add(k)
 }
 
+// agentsSettled reports whether no agent was added recently, so that the known ones
+// are all that can own a flow. Removed agents cannot own any.
 func (r *Router) agentsSettled(now time.Time) bool {
 	return !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
 }
 
+// handleMayHold records an agent that cannot determine without its upstream whether
+// it owns the flow.
 func (r *Router) handleMayHold(now time.Time, from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
 	if f == nil || f.state != stateSearching || f.stage != flow.ReplicaCount {
@@ -73,6 +83,9 @@
 	r.probe(now, m.Key, f)
 }
 
+// probe sends the packet of a search to agents that cannot answer without their
+// upstreams, once all agents with an upstream have answered: one that has not may
+// be the owner, and the packets would reach only other upstreams.
 func (r *Router) probe(now time.Time, k flow.Key, f *routedFlow) {
 	waiting := func(a reply) bool { return a.state == replyUnknown && a.hasPacket }
 	if !slices.ContainsFunc(f.replies, waiting) {
@@ -80,6 +93,11 @@
 	}
 }
 
+// probeNext sends the packet to the agents of one availability zone that have not
+// received it, starting with the local zone, where most flows are placed. Sending
+// it to all agents at once would saturate the links of small instances when many
+// flows are searched for, as after all processes were killed. ok is false when no
+// agent is left.
 func (r *Router) probeNext(now time.Time, k flow.Key, f *routedFlow) (ok bool) {
 	zone, ok := r.nextZone(f)
 	if !ok || f.stage != flow.ReplicaCount || r.ownerReplyMissing(k, f) {
@@ -100,6 +118,8 @@
 	return true
 }
 
+// nextZone returns the zone whose agents receive the packet next: the local one, or
+// that of the first agent that has not received it. ok is false when there is none.
 func (r *Router) nextZone(f *routedFlow) (zone string, ok bool) {
 	for _, a := range f.replies {
 		if a.state != replyUnknown || a.hasPacket {
@@ -112,6 +132,7 @@
 	return zone, ok
 }
 
+// replyFrom returns the reply of an agent and adds it if it is the first one.
 func (f *routedFlow) replyFrom(agent flow.Endpoint) (a *reply, first bool) {
 	i := f.replyIndex(agent)
 	if i < 0 {
@@ -121,10 +142,12 @@
 	return &f.replies[i], first
 }
 
+// replyIndex returns the index of an agent's reply, or -1 without one.
 func (f *routedFlow) replyIndex(agent flow.Endpoint) int {
 	return slices.IndexFunc(f.replies, func(a reply) bool { return a.agent == agent })
 }
 
+// denials returns the number of agents that denied owning the flow.
 func (f *routedFlow) denials() int {
 	n := 0
 	for _, a := range f.replies {
@@ -135,6 +158,8 @@
 	return n
 }
 
+// ownerReplyMissing reports whether a queried agent whose upstream has announced
+// itself has not answered yet.
 func (r *Router) ownerReplyMissing(k flow.Key, f *routedFlow) bool {
 	if len(f.replies) >= f.queried {
 		return false
@@ -151,6 +176,7 @@
 	return false
 }
 
+// handleQueryReply handles an agent's answers to a query about several flows.
 func (r *Router) handleQueryReply(now time.Time, from flow.Endpoint, m *Message) {
 	for _, a := range m.Answers {
 		one := &Message{Key: a.Key, Load: m.Load}
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -263,12 +263,6 @@
 	t.Out.ToUpstream(packet)
 }
 
-// answerQuery sends an entry the answer to whether this agent owns the flow.
-// holding returns whether this agent owns the flow. If it does, the querying entry
-// receives the flow's later messages.
-// Query sends an entry the answers to which of the flows this agent owns.
-// allFlowsKnown reports whether all flows of the upstream are known, because they
-// have passed through this process or the upstream has ended.
 // upstreamReplaced reports whether the upstream that held the flow has been replaced
 // by another one or by a restart.
 func (t *Tracker) upstreamReplaced(f *trackedFlow) bool {
@@ -350,8 +344,6 @@
 	t.Out.SendMessage(to, &Message{Kind: KindRefused, Key: k, Reason: reason, Load: t.currentLoad(), Packet: packet})
 }
 
-// handleUnknownFlow handles a packet of a flow that the agent does not know. It sends
-// the packet to the upstream as a probe unless all flows of the upstream are known.
 // FromUpstream handles a packet that the upstream sent. anyEntry is notified of
 // flows that were unknown.
 func (t *Tracker) FromUpstream(now time.Time, s *flow.Segment, packet []byte, anyEntry flow.Endpoint) {
@@ -390,5 +382,3 @@
 		t.Out.SendMessage(f.entry, &Message{Kind: KindOwned, Key: k, Load: t.currentLoad()})
 	}
 }
-
-// handleReturned handles a caller's packet that the upstream sent back.
--- a/internal/passthrough/tracker_search.go
+++ b/internal/passthrough/tracker_search.go
@@ -6,6 +6,7 @@
 	"crocusnotch/internal/flow"
 )
 
+// answerQuery sends an entry the answer to whether this agent owns the flow.
 func (t *Tracker) answerQuery(now time.Time, k flow.Key, from flow.Endpoint) {
 	switch t.holding(now, k, from) {
 	case HoldingOwned:
@@ -17,6 +18,8 @@
 	}
 }
 
+// holding returns whether this agent owns the flow. If it does, the querying entry
+// receives the flow's later messages.
 func (t *Tracker) holding(now time.Time, k flow.Key, from flow.Endpoint) Holding {
 	f := t.flows[k]
 	switch {
@@ -31,6 +34,7 @@
 	return HoldingUnknown
 }
 
+// Query sends an entry the answers to which of the flows this agent owns.
 func (t *Tracker) Query(now time.Time, from flow.Endpoint, keys []flow.Key) {
 	m := &Message{Kind: KindQueryReply, Load: t.currentLoad()}
 	for _, k := range keys {
@@ -39,6 +43,8 @@
 	t.Out.SendMessage(from, m)
 }
 
+// allFlowsKnown reports whether all flows of the upstream are known, because they
+// have passed through this process or the upstream has ended.
 func (t *Tracker) allFlowsKnown(now time.Time) bool {
 	return now.Sub(t.Started) >= t.MaxAge || t.upstream.SeenFromStart() || t.upstream.Last().Ended || t.timedOut
 }
@@ -48,6 +54,8 @@
 	return known && now.Sub(at) < returnedTTL
 }
 
+// handleUnknownFlow handles a packet of a flow that the agent does not know. It sends
+// the packet to the upstream as a probe unless all flows of the upstream are known.
 func (t *Tracker) handleUnknownFlow(now time.Time, k flow.Key, from flow.Endpoint, meta flow.Metadata, packet []byte) {
 	if t.allFlowsKnown(now) || t.returnedRecently(now, k) {
 		t.sendNotHeld(k, from, packet)
@@ -69,6 +77,7 @@
 	t.Out.SendMessage(to, &Message{Kind: KindNotHeld, Key: k, Reason: flow.RefusalNotHeld, Load: t.currentLoad(), Packet: packet})
 }
 
+// handleReturned handles a caller's packet that the upstream sent back.
 func (t *Tracker) handleReturned(now time.Time, s *flow.Segment, packet []byte) {
 	t.Codec.Clear(packet)
 	k := s.KeyFromCaller()
