--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -45,6 +45,7 @@
 	for ctx.Err() == nil {
 		if !n.isolated.Load() && n.Config().Keys != nil {
 			backoff = minBackoff
+			n.takeFirstSnapshot(ctx, r)
 			n.contactSeeds(ctx, r)
 			lifecycle.Sleep(ctx, joinPollInterval)
 			continue
@@ -75,6 +76,18 @@
 	}
 }
 
+// takeFirstSnapshot takes a snapshot if this entry found its peers by other means, such
+// as the acknowledgements of its pings: repairs alone would fill its tables over many
+// seconds.
+func (n *Node) takeFirstSnapshot(ctx context.Context, r *rand.Rand) {
+	if n.opts.Self.Role == membership.RoleEntry && !n.Joined() {
+		n.snapshotFromAny(ctx, r, n.knownEntries())
+	}
+}
+
+// Joined reports whether this process has taken a whole snapshot of a peer's tables.
+func (n *Node) Joined() bool { return n.joined.Load() }
+
 // contactSeeds requests a snapshot from the seeds when this entry knows other
 // entries but none of the seeds: after a power loss the first entries find each
 // other through the rosters, and those that start later join through the seeds.
@@ -202,7 +215,8 @@
 	return nil
 }
 
-// fetchSnapshot requests all pages of a snapshot from one entry and merges them.
+// fetchSnapshot requests all pages of a snapshot from one entry and merges them. The
+// error is errPeerNotVerified if only the members are of use.
 func (n *Node) fetchSnapshot(ctx context.Context, from netip.AddrPort) error {
 	self := n.Self()
 	params := wire.SnapshotParams{
@@ -211,17 +225,25 @@
 	if name := n.serviceName.Load(); name != nil {
 		params.Follow = *name
 	}
+	var unverified error
 	for {
 		next, err := n.fetchPage(ctx, from, params)
-		if err != nil || next == 0 {
+		switch {
+		case errors.Is(err, errPeerNotVerified):
+			unverified = err
+		case err != nil:
 			return err
 		}
+		if next == 0 {
+			n.joined.Store(true)
+			return unverified
+		}
 		params.Cursor = next
 	}
 }
 
 // fetchPage requests one page of a snapshot, merges it and returns the number of the
-// next page, 0 after the last.
+// next page, 0 after the last, also with errPeerNotVerified.
 func (n *Node) fetchPage(ctx context.Context, from netip.AddrPort, params wire.SnapshotParams) (next int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.opts.Join.SnapshotTimeout)
 	defer cancel()
@@ -236,7 +258,7 @@
 	n.merge(page.Records, page.Objects)
 	switch {
 	case result.AgeMillis < 0 && n.opts.StoreReads.MaxAge > 0 && len(params.Objects) == 0:
-		return 0, errPeerNotVerified
+		return result.Next, errPeerNotVerified
 	case result.Next == 0 && result.AgeMillis >= 0:
 		n.markVerified(time.Now().Add(-time.Duration(result.AgeMillis)*time.Millisecond), result.Revision)
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -119,6 +119,7 @@
 	self           atomic.Pointer[membership.Record]
 	serviceName    atomic.Pointer[string]
 	isolated       atomic.Bool
+	joined         atomic.Bool   // see Joined
 	storeReachable atomic.Bool   // the last call to the store succeeded
 	verifiedNanos  atomic.Int64  // VerifiedAt as nanoseconds after started, 0: zero time
 	listAgainAt    atomic.Int64  // when the store's list must be repeated, as nanoseconds after started, or 0
--- a/internal/fleet/testbench_test.go
+++ b/internal/fleet/testbench_test.go
@@ -11,7 +11,10 @@
 	"strings"
 	"testing"
 
+	"github.com/go-faster/errors"
+
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/keyring"
 	"crocusnotch/internal/membership"
 )
 
@@ -23,8 +26,13 @@
 	nodes  map[string]*runningNode
 	starts int
 	seeds  []netip.AddrPort
+	keys   *keyring.Ring // fixed keys of all nodes, nil: those in the store
+	// callsFail reports whether a node's requests to peers fail.
+	callsFail func(name string) bool
 }
 
+var errPeerDown = errors.New("connection reset by peer")
+
 // runningNode is a node whose Run is running.
 type runningNode struct {
 	*Node
@@ -93,6 +101,14 @@
 	if os.Getenv("CROCUS_TEST_LOG") != "" {
 		o.Log = slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("node", name)
 	}
+	o.Keys = b.keys
+	call := o.Call
+	o.Call = func(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
+		if b.callsFail != nil && b.callsFail(name) {
+			return errPeerDown
+		}
+		return call(ctx, to, method, params, result)
+	}
 	n, err := New(o)
 	if err != nil {
 		b.t.Fatal(err)
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -36,9 +36,15 @@
 	}
 	knewNoEntry := len(c.table.entries) == 0
 	c.mergeMessage(now, m)
-	if knewNoEntry && len(c.table.entries) > 0 && c.self.Role == RoleAgent {
+	if !knewNoEntry || len(c.table.entries) == 0 {
+		return
+	}
+	if c.self.Role == RoleAgent {
 		c.tickAgent(now)
+		return
 	}
+	// The peers know a process that found them by pings only when it announces itself.
+	c.announce(now)
 }
 
 // mergeMessage merges the content of a message and returns newer records to the
--- a/internal/membership/repair_test.go
+++ b/internal/membership/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -21,3 +22,27 @@
 	exchange(startTime, stale, peer)
 	is.Equal(stale.objects.revision(config.ID{Kind: config.KindZoneOut, Name: "z"}), uint64(9))
 }
+
+// An entry that finds its peers by the acknowledgements of its pings, because the requests
+// for a snapshot failed, becomes known to them at once.
+func TestEntryThatJoinsByPingsIsKnown(t *testing.T) {
+	is := is.New(t)
+	seed, other := newCore(1, RoleEntry), newCore(2, RoleEntry)
+	seed.Merge(startTime, []Record{other.self}, nil)
+	other.Merge(startTime, []Record{seed.self}, nil)
+	for n := byte(10); n < 90; n++ { // agents that the new entry does not know
+		seed.Merge(startTime, []Record{newCore(n, RoleAgent).self}, nil)
+	}
+	joining := newCore(3, RoleEntry, seed.self.Control)
+	now := startTime
+	exchange(now, seed, other, joining)
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		for _, c := range []*Core{seed, other, joining} {
+			c.Tick(now)
+		}
+		exchange(now, seed, other, joining)
+	}
+	is.True(seed.table.get(joining.self.Addr) != nil)
+	is.True(other.table.get(joining.self.Addr) != nil)
+}
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -25,6 +25,9 @@
 	// readyTimeout is how long an entry waits after its start for a verified
 	// configuration before it uses the one that its peers have.
 	readyTimeout = 1500 * time.Millisecond
+	// joinPeriod is how long an entry waits for a snapshot of a peer before it treats the
+	// agents that it knows as complete: a fleet may have one entry only.
+	joinPeriod = 5 * time.Second
 	// viewIntervalMin is the shortest time between two updates of the view.
 	viewIntervalMin = 20 * time.Millisecond
 	// viewIntervalMax is the longest time between two updates of the view.
@@ -50,6 +53,7 @@
 	}
 	e.router = NewRouter(s.Zone, s.FlowMax(), e, e.counters.observer(d.Log, e.events))
 	e.router.SetPaused(e.pause.Paused)
+	e.router.SetJoined(false)
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
@@ -174,6 +178,7 @@
 	if e.router.view.Fleet == current {
 		e.router.SetVerifiedAt(verifiedAt)
 	}
+	e.router.SetJoined(e.fleet.Joined() || now.Sub(e.started) >= joinPeriod)
 	e.router.Tick(now)
 	if !e.ready.Load() {
 		e.checkReady(now, verifiedAt)
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -53,6 +53,7 @@
 	Watch() <-chan struct{}
 	Update(change func(*membership.Record))
 	SetServiceName(service string)
+	Joined() bool
 	Resume()
 	AwaitingEntry() bool
 	Events() *explain.Ring
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -167,6 +167,7 @@
 	maxAge               time.Duration
 	verifiedAt           time.Time
 	agentsChanged        time.Time // when the last new agent was added to the view
+	joined               bool      // the set of agents was taken over from a peer
 	agentStartedAt       time.Time // when the last new or restarted agent was added to the view
 	lastSweep            time.Time
 }
@@ -187,6 +188,7 @@
 		out:                  out,
 		observe:              observe,
 		paused:               func() bool { return false },
+		joined:               true,
 		maxAge:               maxAge,
 	}
 }
@@ -198,6 +200,10 @@
 // tick, so that the time of the last verification says nothing.
 func (r *Router) SetPaused(paused func() bool) { r.paused = paused }
 
+// SetJoined sets whether the view contains what a peer knows, so that no agents are
+// missing in it that have run for longer than this entry.
+func (r *Router) SetJoined(joined bool) { r.joined = joined }
+
 // SetVerifiedAt records when the configuration was last verified as the store's
 // latest.
 func (r *Router) SetVerifiedAt(at time.Time) { r.verifiedAt = at }
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -60,10 +60,11 @@
 	r.returns.add(k)
 }
 
-// agentsSettled reports whether no agent was added recently, so that the known ones
-// are all that can own a flow. Removed agents cannot own any.
+// agentsSettled reports whether the agents of a peer were taken over and none was added
+// recently, so that the known ones are all that can own a flow. Removed agents cannot
+// own any.
 func (r *Router) agentsSettled(now time.Time) bool {
-	return !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
+	return r.joined && !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
 }
 
 // handleMayHold records an agent that cannot determine without its upstream whether
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -355,3 +355,22 @@
 	s, _ := codec.Decode(packet)
 	m.router.Message(m.now(), m.agent, &Message{Kind: KindMayHold, Key: s.KeyFromCaller()})
 }
+
+// An entry that knows only a part of the agents, because no peer has given it a snapshot
+// yet, resets no flow, however long no agent was added (an entry of the large deployment
+// that found its peers by pings learned four agents a second).
+func TestEntryWithoutSnapshotResetsNothing(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 2, 9)
+	e := sim.entries[0]
+	e.router.SetJoined(false)
+	sim.advance(time.Second)
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
+	sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+	sim.deliverAll()
+	sim.advance(time.Second)
+	is.Equal(e.router.flows[k].state, stateSearching)
+	e.router.SetJoined(true)
+	sim.advance(2 * tickPeriod)
+	is.Equal(e.router.flows[k].state, stateUnowned)
+}
