Reset flows that are out of reach while their agents count as restarted

An agent that can't tell and can't be asked is out of this entry's reach. While its restart counts as the cause of what happens to its flows (disruptedMillis, from the platform's bounds), the caller is reset; later the flow stays as it is.

Shown by TestFlowOutOfReachAfterAllWereKilled (15, 66, 195 agents).

What binds: nobody keeps which services a route had when all processes are killed; kept in the store, it would let entries find these flows (docs/design/platform.md, limits).

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -134,6 +134,9 @@
 	// GraceSeconds is the time from the signal to stop until the process is
 	// killed.
 	GraceSeconds float64 `json:"graceSeconds" validate:"gt=0,lte=3600"`
+	// DisruptedMillis is how long after the start of a process operators count what
+	// happens to its flows as caused by the start.
+	DisruptedMillis int `json:"disruptedMillis" validate:"gte=0,lte=60000"`
 }
 
 // PassthroughEntry are the settings of crocus-entry for passed-through flows.
@@ -188,6 +191,12 @@
 // FlowMax returns the age after which a flow may be removed.
 func (p *Passthrough) FlowMax() time.Duration { return seconds(p.FlowMaxSeconds) }
 
+// Disrupted returns how long after the start of a process what happens to its flows
+// counts as caused by the start.
+func (p *Passthrough) Disrupted() time.Duration {
+	return time.Duration(p.DisruptedMillis) * time.Millisecond
+}
+
 // Grace returns the time from the signal to stop until the process is killed.
 func (p *Passthrough) Grace() time.Duration { return seconds(p.GraceSeconds) }
 
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -52,6 +52,10 @@
 	// probeInterval is the shortest time between two copies of a search's packet to
 	// one agent.
 	probeInterval = time.Second
+	// restartMargin is subtracted from the time in which flows count as disrupted by a
+	// restart: this entry learns of an agent's start later than it happens, and a reset
+	// takes its time.
+	restartMargin = 500 * time.Millisecond
 	// stageAwaitAgents is the stage of a search that waits for the set of agents to
 	// be complete, or for agents that have not answered.
 	stageAwaitAgents = flow.ReplicaCount + 1
@@ -140,6 +144,7 @@
 	resetSeq         uint32    // sequence number for a reset of the flow
 	resetPending     bool      // of a flow without an owner: its reset has not been sent yet
 	stageStart       time.Time // start of the placement or of the stage of the search
+	searchedAt       time.Time // when all agents without an answer were last queried
 	probedAt         time.Time // when agents last received the packet of the search
 	openedAt         time.Time
 	lastSeen         time.Time
@@ -166,9 +171,10 @@
 	paused               func() bool // reports whether the process was paused since the last tick
 	maxAge               time.Duration
 	verifiedAt           time.Time
-	agentsChanged        time.Time // when the last new agent was added to the view
-	joined               bool      // the set of agents was taken over from a peer
-	agentStartedAt       time.Time // when the last new or restarted agent was added to the view
+	agentsChanged        time.Time     // when the last new agent was added to the view
+	restartPeriod        time.Duration // after the start of an agent, in which its flows count as disrupted by it
+	joined               bool          // the set of agents was taken over from a peer
+	agentStartedAt       time.Time     // when the last new or restarted agent was added to the view
 	lastSweep            time.Time
 }
 
@@ -200,6 +206,10 @@
 // tick, so that the time of the last verification says nothing.
 func (r *Router) SetPaused(paused func() bool) { r.paused = paused }
 
+// SetDisrupted sets how long after the start of an agent what happens to its flows counts
+// as caused by the start.
+func (r *Router) SetDisrupted(d time.Duration) { r.restartPeriod = max(0, d-restartMargin) }
+
 // SetJoined sets whether the view contains what a peer knows, so that no agents are
 // missing in it that have run for longer than this entry.
 func (r *Router) SetJoined(joined bool) { r.joined = joined }
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -40,7 +40,7 @@
 // its route, or all in a small fleet. except is an agent that is known not to own it,
 // or zero.
 func (r *Router) queryAgents(now time.Time, k flow.Key, f *routedFlow, except flow.Endpoint) {
-	f.stageStart, f.stage = now, flow.ReplicaCount
+	f.stageStart, f.searchedAt, f.stage = now, now, flow.ReplicaCount
 	f.queriedAll = len(r.view.Owners) <= searchAllLimit
 	f.queried, f.replies = 0, f.replies[:0]
 	if !except.IsZero() {
@@ -123,15 +123,34 @@
 		r.abandonSearch(now, k, f, "")
 		return
 	}
-	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool { return r.isSilent(now, a) })
+	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
+		return r.isSilent(now, a) || r.isOutOfReach(now, f, a)
+	})
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
 		r.concludeUnowned(k, f)
-	case len(unanswered) > 0 && (!r.agentStartedAt.Before(f.stageStart) || now.Sub(f.stageStart) >= searchInterval):
-		r.queryAgain(now, k, f, unanswered)
+	case len(unanswered) > 0 && now.Sub(f.searchedAt) >= searchInterval:
+		f.searchedAt = now
+		r.queryAgain(now, k, f, unanswered, unanswered)
+	case !r.agentStartedAt.Before(f.stageStart):
+		started := slices.DeleteFunc(slices.Clone(unanswered), func(a flow.Endpoint) bool {
+			return r.view.Owners[a].Since.Before(f.stageStart)
+		})
+		if len(started) > 0 {
+			r.queryAgain(now, k, f, unanswered, started)
+		}
 	}
 }
 
+// isOutOfReach reports whether an agent that has just restarted can't tell whether it owns
+// the flow, and can't be sent the packet since the route is not known to have had its
+// service. This entry can deliver nothing to it then: the caller is better served by a
+// reset than by its deadline.
+func (r *Router) isOutOfReach(now time.Time, f *routedFlow, agent flow.Endpoint) bool {
+	i := f.replyIndex(agent)
+	return i >= 0 && f.replies[i].state == replyNotProbeable && now.Sub(r.view.Owners[agent].Since) < r.restartPeriod
+}
+
 // agentsWithoutReply returns the agents that may own the flow and have not denied it.
 func (r *Router) agentsWithoutReply(f *routedFlow) []flow.Endpoint {
 	var out []flow.Endpoint
@@ -143,21 +162,21 @@
 	return out
 }
 
-// queryAgain queries agents that have not denied the flow once more. Those that
-// received the packet shortly before do not receive it again: three packets at wrong
-// upstreams within two seconds count as a broken flow.
-func (r *Router) queryAgain(now time.Time, k flow.Key, f *routedFlow, agents []flow.Endpoint) {
+// queryAgain queries some of the agents that have not denied the flow once more. Those
+// that received the packet shortly before do not receive it again: three packets at
+// wrong upstreams within two seconds count as a broken flow.
+func (r *Router) queryAgain(now time.Time, k flow.Key, f *routedFlow, unanswered, agents []flow.Endpoint) {
 	recent := now.Sub(f.probedAt) < probeInterval
 	f.replies = slices.DeleteFunc(f.replies, func(a reply) bool {
-		return a.state != replyDenied && !(a.hasPacket && recent)
+		return a.state != replyDenied && !(a.hasPacket && recent) && slices.Contains(agents, a.agent)
 	})
 	for i := range f.replies {
-		if f.replies[i].state != replyDenied {
-			f.replies[i].state = replyProbeTimeout
+		if a := &f.replies[i]; a.state == replyUnknown && a.hasPacket {
+			a.state = replyProbeTimeout
 		}
 	}
 	f.stageStart, f.stage, f.queriedAll = now, flow.ReplicaCount, true
-	f.queried = len(agents) + f.denials()
+	f.queried = len(unanswered) + f.denials()
 	for _, agent := range agents {
 		r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
 	}
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -374,3 +374,36 @@
 	sim.advance(2 * tickPeriod)
 	is.Equal(e.router.flows[k].state, stateUnowned)
 }
+
+// All processes are killed while the upstreams keep running (scenario kill_all), after a
+// change of the route's service: the restarted entries do not know the former one, and
+// its agents can't tell which flows they own. Callers are reset while those agents count
+// as just restarted, rather than left to their deadlines; later the flow stays.
+func TestFlowOutOfReachAfterAllWereKilled(t *testing.T) {
+	for name, tt := range map[string]struct {
+		after     time.Duration
+		wantReset bool
+	}{
+		"at once": {0, true},
+		"later":   {simDisrupted, false},
+	} {
+		for _, agents := range []int{15, 66, 195} {
+			t.Run(fmt.Sprint(name, " ", agents), func(t *testing.T) {
+				is := is.New(t)
+				sim := newSimulation(t.Fatalf, 3, agents)
+				c := sim.open(1, routeA, func() *simEntry { return sim.entries[0] })
+				is.True(c.open)
+				c.open = false // the simulation allows no reset of an open flow
+				changed := *sim.fleet
+				changed.Routes = maps.Clone(sim.fleet.Routes)
+				changed.Routes[routeA] = &config.Route{Name: "a", Address: routeA, Choices: []config.Choice{{Service: "beta", Weight: 1}}}
+				sim.fleet = &changed
+				sim.restartAllProcesses()
+				sim.advance(tt.after)
+				sim.request(c, sim.entries[0])
+				sim.advance(2 * time.Second)
+				is.Equal(c.reset, tt.wantReset)
+			})
+		}
+	}
+}
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -82,6 +82,7 @@
 	simSecret          = "0101010101010101010101010101010101010101010101010101010101010101"
 	simFlowMax         = time.Minute
 	simUpstreamTimeout = 3 * time.Second
+	simDisrupted       = 4 * time.Second
 )
 
 var (
@@ -133,6 +134,7 @@
 
 func (e *simEntry) start() {
 	e.router = NewRouter("z1", simFlowMax, e, func(Decision) {})
+	e.router.SetDisrupted(simDisrupted)
 	e.views = newViewBuilder(&config.Passthrough{
 		Data: e.addr.AddrPort(), Zones: map[string]string{"z1": "r", "z2": "r"}, FlowMaxSeconds: simFlowMax.Seconds(),
 	})
