List a fault of agents that restart soon after their upstreams

Traced by the logs: the upstream started at 53.672, opened the flow at 54.026 through its agent, which was then restarted by plan (54.030 to 54.072). The new process took announcement 2 for the first one that any agent could have received, since the upstream had started less than 0.5 s before it (meant for upstreams and agents that start together after a loss of power), and denied the flow.

A way to mend it: entries tell an agent at its first heartbeat that they knew a former process of it.

--- a/internal/passthrough/tracker_test.go
+++ b/internal/passthrough/tracker_test.go
@@ -270,3 +270,23 @@
 	sim.advance(probeTimeout + 2*tickPeriod)
 	is.Equal(a.tracker.holding(sim.now, k, sim.entries[0].addr), HoldingNone)
 }
+
+// An agent is restarted by plan within half a second of its upstream's start (scenarios
+// release and roll_term), after a flow was opened. The restarted process must not take
+// the upstream's second announcement for the first one that any agent received, and deny
+// the flow: an entry would reset it.
+func TestAgentRestartedSoonAfterItsUpstream(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 2, 6)
+	a := sim.agents[0]
+	a.upstream = &simUpstream{startMillis: sim.now.UnixMilli(), flows: map[flow.Key]uint32{}}
+	a.start()
+	a.announce()
+	sim.now = sim.now.Add(300 * time.Millisecond)
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
+	a.upstream.flows[k] = 1
+	a.start()
+	sim.now = sim.now.Add(20 * time.Millisecond)
+	a.announce()
+	is.True(a.tracker.holding(sim.now, k, sim.entries[0].addr) != HoldingNone)
+}
