--- a/internal/membership/era.go
+++ b/internal/membership/era.go
@@ -14,19 +14,19 @@
 
 // eraState is what is known of the eras of the store: see config.JoinRevision.
 type eraState struct {
-	era          uint64
-	rewrittenBy  time.Time // when the changes that the store lost are written again
-	reachedFirst bool      // an era was observed
+	era         uint64
+	rewrittenBy time.Time // when the changes that the store lost are written again
+	observed    bool      // an era was observed
 }
 
 // observeEra records a new era of the store, from an object or from a verification. The
 // first one may also follow a restore that this process has not seen.
 func (c *Core) observeEra(now time.Time, era uint64) {
-	if era == 0 || c.era.reachedFirst && era <= c.era.era {
+	if era == 0 || c.era.observed && era <= c.era.era {
 		return
 	}
-	restored := c.era.reachedFirst
-	c.era = eraState{era: era, rewrittenBy: now.Add(rewriteTimeout), reachedFirst: true}
+	restored := c.era.observed
+	c.era = eraState{era: era, rewrittenBy: now.Add(rewriteTimeout), observed: true}
 	if restored {
 		c.out.Restored = true
 	}
@@ -53,7 +53,7 @@
 	found := map[config.ID]bool{}
 	for i := range listed {
 		found[listed[i].ID()] = true
-		if c.awaitingRewrites(now) && c.objects.isPast(&listed[i]) {
+		if c.awaitingRewrites(now) && c.objects.wasSuperseded(&listed[i]) {
 			repeatAt = c.era.rewrittenBy
 		}
 	}
--- a/internal/membership/era_test.go
+++ b/internal/membership/era_test.go
@@ -72,11 +72,11 @@
 func TestPastRevisionsAreBounded(t *testing.T) {
 	is := is.New(t)
 	c := testCore(RoleEntry, 1)
-	for i := range uint64(10 * maxPastRevisions) {
+	for i := range uint64(10 * maxSuperseded) {
 		c.Merge(testStart, nil, []config.Object{zoneOutObject("pier", 1, i+1, false)})
 	}
 	id := config.ID{Kind: config.KindZoneOut, Name: "pier"}
-	is.Equal(len(c.objects.get(id).superseded), maxPastRevisions)
+	is.Equal(len(c.objects.get(id).superseded), maxSuperseded)
 	c.Merge(testStart, nil, []config.Object{zoneOutObject("pier", 2, 1, false)})
 	is.Equal(len(c.objects.get(id).superseded), 0)
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -92,7 +92,7 @@
 		return
 	}
 	c.observeEra(now, config.EraOf(in.Revision))
-	if c.awaitingRewrites(now) && c.objects.isPast(in) {
+	if c.awaitingRewrites(now) && c.objects.wasSuperseded(in) {
 		return
 	}
 	stored := c.objects.putIfNewer(in)
--- a/internal/membership/objects.go
+++ b/internal/membership/objects.go
@@ -21,18 +21,18 @@
 	seq     uint64         // local sequence number of the last change
 	// superseded are earlier revisions of the same era, oldest first. A store that was
 	// restored from a copy has one of them again.
-	superseded []pastRevision
+	superseded []supersededRevision
 }
 
-// pastRevision identifies a revision of an object and its content.
-type pastRevision struct {
+// supersededRevision identifies a revision of an object and its content.
+type supersededRevision struct {
 	revision uint64 // as the store gave it out
 	value    uint64 // hash
 }
 
-// maxPastRevisions bounds the superseded revisions of one object. A copy is seconds
+// maxSuperseded bounds the superseded revisions of one object. A copy is seconds
 // old, and operators change one object a few times a second at most.
-const maxPastRevisions = 64
+const maxSuperseded = 64
 
 // objects holds the last known revision of every configuration object.
 type objects struct {
@@ -84,7 +84,7 @@
 	case !in.Supersedes(&known.latest):
 		return nil
 	default:
-		known.recordPast(in)
+		known.recordSuperseded(in)
 		old := revisionHash(key, known.latest.Revision)
 		o.sum ^= old
 		o.hashes[b] ^= uint32(old >> 32)
@@ -100,29 +100,29 @@
 	return known
 }
 
-// recordPast records that in supersedes the latest revision. Revisions of an earlier era
+// recordSuperseded records that in supersedes the latest revision. Revisions of an earlier era
 // are forgotten with the first one of a later era.
-func (k *object) recordPast(in *config.Object) {
+func (k *object) recordSuperseded(in *config.Object) {
 	if config.EraOf(in.Revision) != config.EraOf(k.latest.Revision) {
 		k.superseded = nil
 		return
 	}
-	if len(k.superseded) == maxPastRevisions {
+	if len(k.superseded) == maxSuperseded {
 		k.superseded = slices.Delete(k.superseded, 0, 1)
 	}
-	k.superseded = append(k.superseded, pastRevisionOf(&k.latest))
+	k.superseded = append(k.superseded, supersededRevisionOf(&k.latest))
 }
 
-func pastRevisionOf(o *config.Object) pastRevision {
-	return pastRevision{revision: config.StoreRevision(o.Revision), value: xxhash.Sum64(o.Value)}
+func supersededRevisionOf(o *config.Object) supersededRevision {
+	return supersededRevision{revision: config.StoreRevision(o.Revision), value: xxhash.Sum64(o.Value)}
 }
 
-// isPast reports whether an object of a later era is a revision that had been
+// wasSuperseded reports whether an object of a later era is a revision that had been
 // superseded before the store was restored.
-func (o *objects) isPast(in *config.Object) bool {
+func (o *objects) wasSuperseded(in *config.Object) bool {
 	known := o.get(in.ID())
 	return known != nil && !in.Deleted && config.EraOf(in.Revision) > config.EraOf(known.latest.Revision) &&
-		slices.Contains(known.superseded, pastRevisionOf(in))
+		slices.Contains(known.superseded, supersededRevisionOf(in))
 }
 
 // validate puts the latest revision in force if it is valid, and sets its problem
--- a/internal/passthrough/returns_test.go
+++ b/internal/passthrough/reset_pacer_test.go
@@ -31,7 +31,7 @@
 			}
 			sim.deliverAll()
 			const slotsPerAgent = 5
-			perTick := float64(slotsPerAgent*size.agents)*returnsPerSlot + float64(size.entries) // rounded up by each entry
+			perTick := float64(slotsPerAgent*size.agents)*resetsPerSlot + float64(size.entries) // rounded up by each entry
 			total, before := 0, 0
 			for range 3 * time.Second / tickPeriod {
 				sim.advance(tickPeriod)
@@ -72,7 +72,7 @@
 	}
 	sim.deliverAll()
 	sim.advance(3 * tickPeriod)
-	last := keys[e.returnsLast(keys)]
+	last := keys[e.lastReset(keys)]
 	is.True(e.router.flows[last].resetPending)
 	c := &simCaller{key: last}
 	sim.callers = append(sim.callers, c)
@@ -83,9 +83,9 @@
 	is.True(!c.reset)
 }
 
-// returnsLast returns the index of the key that is reset last.
-func (e *simEntry) returnsLast(keys []flow.Key) int {
-	pending := e.router.returns.pending
+// lastReset returns the index of the key that is reset last.
+func (e *simEntry) lastReset(keys []flow.Key) int {
+	pending := e.router.resets.pending
 	for i, k := range keys {
 		if k == pending[len(pending)-1] {
 			return i
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -160,8 +160,8 @@
 	searching            map[flow.Key]*routedFlow
 	pendingRegistrations map[flow.Endpoint][]Registration // by replica
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
-	silences             silences
-	returns              returns
+	unanswered           unansweredQueries
+	resets               resetPacer
 	startedAt            time.Time // when the first opening packet arrived
 	heldOpenings         heldOpenings
 	searchesInTick       int // searches that queried agents since the last tick
@@ -189,7 +189,7 @@
 		searching:            map[flow.Key]*routedFlow{},
 		pendingRegistrations: map[flow.Endpoint][]Registration{},
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
-		silences:             silences{},
+		unanswered:           unansweredQueries{},
 		heldOpenings:         heldOpenings{},
 		out:                  out,
 		observe:              observe,
@@ -224,7 +224,7 @@
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
 	r.recordStartedAgents(now, v)
 	r.view = v
-	r.setReturnRate()
+	r.setResetRate()
 	r.placeHeldOpenings(now)
 	if !entriesChanged {
 		return
@@ -317,7 +317,7 @@
 
 // Message handles a message from an agent or another entry.
 func (r *Router) Message(now time.Time, from flow.Endpoint, m *Message) {
-	r.silences.heard(from)
+	r.unanswered.heard(from)
 	switch m.Kind {
 	case KindOwned:
 		r.handleOwned(now, from, m)
@@ -373,7 +373,7 @@
 		r.lastSweep = now
 		r.sweep(now)
 		r.placement.Retain(r.mayOwn)
-		r.silences.retain(r.mayOwn)
+		r.unanswered.retain(r.mayOwn)
 	}
 }
 
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -90,7 +90,7 @@
 // tick.
 func (r *Router) queryAgent(now time.Time, agent flow.Endpoint, k flow.Key, f *routedFlow) {
 	if r.searchesInTick < maxDirectSearches {
-		r.silences.queried(now, agent)
+		r.unanswered.queried(now, agent)
 		r.out.Query(agent, r.metadata(k, flow.PurposeQuery, agent), f.searchPacket)
 		return
 	}
@@ -101,7 +101,7 @@
 func (r *Router) flushQueries(now time.Time) {
 	r.searchesInTick, r.lookupsInTick = 0, 0
 	for _, agent := range slices.SortedFunc(maps.Keys(r.pendingQueries), flow.Endpoint.Compare) {
-		r.silences.queried(now, agent)
+		r.unanswered.queried(now, agent)
 		for keys := range slices.Chunk(r.pendingQueries[agent], maxQueries) {
 			for _, k := range keys {
 				if f := r.searching[k]; f != nil && f.stage == flow.ReplicaCount {
@@ -124,7 +124,7 @@
 		return
 	}
 	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
-		return r.isSilent(now, a) || r.isOutOfReach(now, f, a)
+		return r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
 	})
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -57,7 +57,7 @@
 	f.searchPacket, f.queued = nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state, f.resetPending = stateUnowned, true
-	r.returns.add(k)
+	r.resets.add(k)
 }
 
 // agentsSettled reports whether the agents of a peer were taken over and none was added
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -284,7 +284,7 @@
 // the deadline of most has passed. An agent that answers, or whose upstream has
 // announced itself, is waited for.
 func TestFlowsDoNotWaitForVanishedMachines(t *testing.T) {
-	const within = silentMinAge + silentAfter
+	const within = unresponsiveMinAge + unresponsiveAfter
 	for name, tt := range map[string]struct {
 		vanished, announced bool
 		wantReset           bool
