Tell a restarted agent that it had a former process

An agent whose upstream started less than 0.5 s before it and announces itself with number 2 or 3 took itself for the first process to see that upstream. That holds after a loss of power, not when the agent alone was restarted: the former process may have forwarded flows.

The entry that knows a former process which ran until 5 s before says so in its reply to the agent's first heartbeat; the agent then asks its upstream about unknown flows. After a loss of power of all nobody knows one, and recovery stays as it was.

TestAgentRestartedSoonAfterItsUpstream, red so far, now gets what the entry reports and keeps its assertion; TestFormerProcessMayHaveForwardedFlows and TestRestartedAgentLearnsOfItsFormerProcess are new.

--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -44,6 +44,7 @@
 		n.applyOutput(now)
 		n.publishVerifiedAt()
 		n.awaitingEntry.Store(n.core.AwaitingEntry(now))
+		n.restarted.Store(n.core.Restarted())
 	}
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -126,6 +126,7 @@
 	restored       chan struct{} // signals that the store was restored from a copy
 	resuming       atomic.Bool   // Resume was called and the loop has not handled it yet
 	awaitingEntry  atomic.Bool   // see membership.Core.AwaitingEntry
+	restarted      atomic.Bool   // see membership.Core.Restarted
 	started        time.Time
 	fillStatus     atomic.Pointer[func(*wire.Status)]
 	bytesIn        atomic.Uint64
@@ -347,6 +348,10 @@
 	})
 }
 
+// Restarted reports whether an entry knew a former process of this agent that ran until
+// shortly before.
+func (n *Node) Restarted() bool { return n.restarted.Load() }
+
 // AwaitingEntry reports whether this agent was paused and no entry has confirmed since
 // that it knows the changes that it missed.
 func (n *Node) AwaitingEntry() bool { return n.resuming.Load() || n.awaitingEntry.Load() }
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -195,13 +195,13 @@
 	is := is.New(t)
 	var u Upstream
 	u.Announce(start, Announcement{ID: "i", StartMillis: 1, Sequence: 7})
-	is.True(!u.SeenFromStart()) // it may hold earlier flows
+	is.True(!u.SeenFromStart(true)) // it may hold earlier flows
 	u.Announce(start, Announcement{ID: "i", StartMillis: 2, Sequence: 1})
-	is.True(u.SeenFromStart())
+	is.True(u.SeenFromStart(true))
 	u.Announce(start, Announcement{ID: "i", StartMillis: 2, Sequence: 2})
-	is.True(u.SeenFromStart())
+	is.True(u.SeenFromStart(true))
 	u.Announce(start, Announcement{ID: "i", StartMillis: 3, Sequence: 2})
-	is.True(!u.SeenFromStart())
+	is.True(!u.SeenFromStart(true))
 }
 
 func TestAdmissionRefusals(t *testing.T) {
@@ -317,7 +317,7 @@
 			is := is.New(t)
 			u := NewUpstream(start)
 			u.Announce(start, Announcement{ID: "i", StartMillis: start.Add(tt.startOffset).UnixMilli(), Sequence: tt.sequence})
-			is.Equal(u.SeenFromStart(), tt.want)
+			is.Equal(u.SeenFromStart(true), tt.want)
 		})
 	}
 }
@@ -420,3 +420,15 @@
 	is.True(len(a.openings) <= 1)
 	is.True(len(p.loads) <= 10)
 }
+
+// An upstream that started shortly before its agent may hold flows that a former process
+// of the agent forwarded, unless its first announcement came to this one.
+func TestFormerProcessMayHaveForwardedFlows(t *testing.T) {
+	is := is.New(t)
+	for sequence, want := range map[int64]bool{1: true, 2: false, 3: false} {
+		u := NewUpstream(start)
+		u.Announce(start, Announcement{ID: "i", StartMillis: start.Add(-startSpread / 2).UnixMilli(), Sequence: sequence})
+		is.Equal(u.SeenFromStart(false), want)
+		is.True(u.SeenFromStart(true))
+	}
+}
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -22,6 +22,7 @@
 	last      Announcement
 	known     bool
 	fromStart bool // this process received its first announcement
+	together  bool // it started together with this process, which may have missed its first announcements
 
 	agentStarted  time.Time
 	coldUntil     time.Time
@@ -49,7 +50,9 @@
 		a = final
 	}
 	before := *u
-	u.fromStart = !a.Ended && u.isFirst(a) || u.fromStart && before.last.StartMillis == a.StartMillis
+	sameStart := before.last.StartMillis == a.StartMillis
+	u.fromStart = !a.Ended && a.Sequence <= firstSequence || u.fromStart && sameStart
+	u.together = !a.Ended && before.startedTogether(a) || u.together && sameStart
 	u.last, u.known, u.lastAnnounced = a, true, now
 	u.coldUntil = now.Add(a.ColdRemaining)
 	if !before.known || before.state(now) != u.state(now) || before.last.StartMillis != a.StartMillis || before.last.ID != a.ID {
@@ -74,18 +77,18 @@
 // process started at agentStarted.
 func NewUpstream(agentStarted time.Time) Upstream { return Upstream{agentStarted: agentStarted} }
 
-// isFirst reports whether no earlier process of the agent can have forwarded flows
-// to the start of the upstream that the announcement is from.
-func (u *Upstream) isFirst(a Announcement) bool {
-	if a.Sequence <= firstSequence {
-		return true
-	}
+// startedTogether reports whether an announcement is the first one here of an upstream
+// that started together with this process.
+func (u *Upstream) startedTogether(a Announcement) bool {
 	return !u.known && a.Sequence <= earlySequenceMax && a.StartMillis >= u.agentStarted.Add(-startSpread).UnixMilli()
 }
 
-// SeenFromStart reports whether this process received the upstream's first
-// announcement, so that all flows of the upstream have passed through it.
-func (u *Upstream) SeenFromStart() bool { return u.known && u.fromStart }
+// SeenFromStart reports whether all flows of the upstream have passed through this
+// process: it received the upstream's first announcement, or it is the first process of
+// its agent and the upstream started together with it.
+func (u *Upstream) SeenFromStart(firstProcess bool) bool {
+	return u.known && (u.fromStart || u.together && firstProcess)
+}
 
 // isStale reports whether a later announcement is known. The end of an upstream
 // may be announced without its start time; then it is accepted only if the
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -40,6 +40,7 @@
 	lastProbed      netip.AddrPort               // known entry probed last
 	heartbeatCount  int
 	lastCheckedPeer netip.AddrPort  // peer last sent to the watchers
+	restarted       bool            // see Restarted
 	resumeProbes    map[uint64]bool // numbers of the probes that followed heartbeats after a pause
 	resumedAt       time.Time
 }
@@ -63,6 +64,10 @@
 	}
 }
 
+// Restarted reports whether an entry knew a former process of this agent that ran until
+// shortly before. It is false until an entry has answered.
+func (c *Core) Restarted() bool { return c.agent.restarted }
+
 // AwaitingEntry reports whether this agent was paused and no entry has confirmed since
 // what it believes.
 func (c *Core) AwaitingEntry(now time.Time) bool {
@@ -302,6 +307,7 @@
 		return
 	}
 	w.lastReply = now
+	c.agent.restarted = c.agent.restarted || m.Restarted
 	if w.epoch != m.Epoch {
 		w.epoch, w.lastSeq = m.Epoch, 0
 	}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// recentProcess is the time since the end of a process within which what it forwarded may
+// matter to its successor.
+const recentProcess = 5 * time.Second
+
+// ranBefore reports whether a former process of the member is known that ran until
+// shortly before.
+func (c *Core) ranBefore(now time.Time, r *Record) bool {
+	m := c.table.get(r.Addr)
+	return m != nil && m.Incarnation < r.Incarnation && (!m.State.Final() || now.Sub(m.changedAt) < recentProcess)
+}
+
 // receiveHeartbeat records the time of the heartbeat and replies with the
 // changes in the agent's scope since its last heartbeat.
 func (c *Core) receiveHeartbeat(now time.Time, m *Message) {
@@ -65,12 +76,13 @@
 		c.entry.watched[m.From] = w
 	}
 	w.lastHeartbeat, w.serviceName = now, m.ServiceName
+	restarted := c.ranBefore(now, &reported)
 	newer := c.mergeRecord(now, &reported, CauseReported)
 	if reported.State.Final() {
 		delete(c.entry.watched, m.From)
 		return
 	}
-	reply := &Message{Kind: KindReply, Epoch: c.self.Incarnation}
+	reply := &Message{Kind: KindReply, Epoch: c.self.Incarnation, Restarted: restarted}
 	if newer != nil {
 		reply.Records = append(reply.Records, *newer)
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -73,6 +73,7 @@
 	FailureReports []byte          `cbor:"18,keyasint,omitempty"` // packed failure reports
 	Partial        bool            `cbor:"17,keyasint,omitempty"` // the listing contains only a part of the bucket
 	Age            uint32          `cbor:"19,keyasint,omitempty"` // KindVerified: milliseconds
+	Restarted      bool            `cbor:"20,keyasint,omitempty"` // KindReply: a former process of the agent ran until shortly before
 }
 
 // ObjectRef identifies a revision of an object without its value. In a push or
--- a/internal/membership/repair_test.go
+++ b/internal/membership/repair_test.go
@@ -23,6 +23,37 @@
 	is.Equal(stale.objects.revision(config.ID{Kind: config.KindZoneOut, Name: "z"}), uint64(9))
 }
 
+// An agent that restarts learns from the reply to its first heartbeat that a former
+// process of it ran until shortly before; one that starts for the first time, or long
+// after its predecessor, does not.
+func TestRestartedAgentLearnsOfItsFormerProcess(t *testing.T) {
+	for name, tt := range map[string]struct {
+		former State // 0: none
+		ago    time.Duration
+		want   bool
+	}{
+		"first start":         {},
+		"killed":              {former: StateReady, want: true},
+		"stopped shortly ago": {former: StateLeft, ago: time.Second, want: true},
+		"gone for long":       {former: StateLeft, ago: recentProcess},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			entry, agent := newCore(1, RoleEntry), newCore(2, RoleAgent)
+			if tt.former != 0 {
+				former := agent.self
+				former.Incarnation, former.State = 1, tt.former
+				entry.Merge(startTime, []Record{former}, nil)
+			}
+			now := startTime.Add(tt.ago)
+			agent.Merge(now, []Record{entry.self}, nil)
+			agent.Tick(now)
+			exchange(now, entry, agent)
+			is.Equal(agent.Restarted(), tt.want)
+		})
+	}
+}
+
 // An entry that finds its peers by the acknowledgements of its pings, because the requests
 // for a snapshot failed, becomes known to them at once.
 func TestEntryThatJoinsByPingsIsKnown(t *testing.T) {
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -229,6 +229,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.tracker.SetStale(stale)
+	a.tracker.SetRestarted(a.fleet.Restarted())
 	a.tracker.Packet(time.Now(), flow.EndpointOf(from), &s, b)
 }
 
@@ -240,6 +241,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.tracker.SetRestarted(a.fleet.Restarted())
 	a.tracker.Query(time.Now(), flow.EndpointOf(from), m.Queries)
 }
 
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -56,6 +56,7 @@
 	Joined() bool
 	Resume()
 	AwaitingEntry() bool
+	Restarted() bool
 	Events() *explain.Ring
 	SetStatus(fill func(*wire.Status))
 	Leave(ctx context.Context)
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -111,6 +111,7 @@
 	idleTimeout     time.Duration
 	zoneOut         bool
 	draining        bool
+	restarted       bool // a former process of this agent ran until shortly before
 	stale           bool // this process was paused: configuration and announcements may have changed
 	busyRequests    int
 	averageBusy     float64
@@ -163,6 +164,11 @@
 // meanwhile. It refuses new flows until then.
 func (t *Tracker) SetStale(stale bool) { t.stale = stale }
 
+// SetRestarted sets whether a former process of this agent ran until shortly before, so
+// that an upstream which started shortly before this process may hold flows that it
+// forwarded.
+func (t *Tracker) SetRestarted(restarted bool) { t.restarted = restarted }
+
 // Busy returns the number of unanswered requests.
 func (t *Tracker) Busy() int { return t.busyRequests }
 
--- a/internal/passthrough/tracker_search.go
+++ b/internal/passthrough/tracker_search.go
@@ -46,7 +46,7 @@
 // allFlowsKnown reports whether all flows of the upstream are known, because they
 // have passed through this process or the upstream has ended.
 func (t *Tracker) allFlowsKnown(now time.Time) bool {
-	return now.Sub(t.Started) >= t.MaxAge || t.upstream.SeenFromStart() || t.upstream.Last().Ended || t.timedOut
+	return now.Sub(t.Started) >= t.MaxAge || t.upstream.SeenFromStart(!t.restarted) || t.upstream.Last().Ended || t.timedOut
 }
 
 func (t *Tracker) returnedRecently(now time.Time, k flow.Key) bool {
--- a/internal/passthrough/tracker_test.go
+++ b/internal/passthrough/tracker_test.go
@@ -286,6 +286,7 @@
 	k := flow.KeyOf(flow.EndpointOf(addrOf(9, 1)), flow.EndpointOf(routeA))
 	a.upstream.flows[k] = 1
 	a.start()
+	a.tracker.SetRestarted(true) // as an entry reports with its first reply
 	sim.now = sim.now.Add(20 * time.Millisecond)
 	a.announce()
 	is.True(a.tracker.holding(sim.now, k, sim.entries[0].addr) != HoldingNone)
