Derive that an era was observed, and stamp objects with it in one place

eraState.observed said the same as an era other than 0; the revision and version of an object were set by two copies of the same lines in the store client. Two comments are wrapped.

--- a/internal/membership/era.go
+++ b/internal/membership/era.go
@@ -14,22 +14,18 @@
 
 // eraState is what is known of the eras of the store: see config.JoinRevision.
 type eraState struct {
-	era         uint64
+	era         uint64    // highest known one, 0 before the first
 	rewrittenBy time.Time // when the changes that the store lost are written again
-	observed    bool      // an era was observed
 }
 
 // observeEra records a new era of the store, from an object or from a verification. The
 // first one may also follow a restore that this process has not seen.
 func (c *Core) observeEra(now time.Time, era uint64) {
-	if era == 0 || c.era.observed && era <= c.era.era {
+	if era <= c.era.era {
 		return
 	}
-	restored := c.era.observed
-	c.era = eraState{era: era, rewrittenBy: now.Add(rewriteTimeout), observed: true}
-	if restored {
-		c.out.Restored = true
-	}
+	c.out.Restored = c.out.Restored || c.era.era != 0
+	c.era = eraState{era: era, rewrittenBy: now.Add(rewriteTimeout)}
 }
 
 // Era returns the highest known era of the store, 0 if it reports none.
--- a/internal/membership/objects.go
+++ b/internal/membership/objects.go
@@ -101,7 +101,9 @@
 }
 
 // recordSuperseded records that in supersedes the latest revision. Revisions of an earlier era
-// are forgotten with the first one of a later era.
+
+// recordSuperseded records that in supersedes the latest revision. Revisions of an
+// earlier era are forgotten with the first one of a later era.
 func (k *object) recordSuperseded(in *config.Object) {
 	if config.EraOf(in.Revision) != config.EraOf(k.latest.Revision) {
 		k.superseded = nil
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -68,7 +68,8 @@
 }
 
 // snapshotForAgent returns the entries with the highest rendezvous hashes for the
-// agent, among which it chooses its watchers, the live agents of its service and the objects in its scope.
+// agent, among which it chooses its watchers, the live agents of its service and the
+// objects in its scope.
 func (c *Core) snapshotForAgent(q SnapshotQuery) (records []Record, objects []config.Object, next int) {
 	if !isIPv4(q.Address) {
 		return nil, nil, 0
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -46,20 +46,23 @@
 func (s Snapshot) withEra(era uint64) Snapshot {
 	s.Revision = config.JoinRevision(era, s.Revision)
 	for i := range s.Objects {
-		o := &s.Objects[i]
-		o.Revision = config.JoinRevision(era, o.Revision)
-		o.SetVersion()
+		addEra(&s.Objects[i], era)
 	}
 	return s
 }
 
+// addEra adds the era to the revision of an object as the store gave it out.
+func addEra(o *config.Object, era uint64) {
+	o.Revision = config.JoinRevision(era, o.Revision)
+	o.SetVersion()
+}
+
 // object decodes the object in a response and adds the era to its revision.
 func (c *Client) object(id config.ID, res Response) (config.Object, error) {
 	o, err := c.opts.Protocol.Object(id, res)
 	if err != nil {
 		return o, err
 	}
-	o.Revision = config.JoinRevision(res.Era, o.Revision)
-	o.SetVersion()
+	addEra(&o, res.Era)
 	return o, nil
 }
