--- a/internal/membership/objects.go
+++ b/internal/membership/objects.go
@@ -100,8 +100,6 @@
 	return known
 }
 
-// recordSuperseded records that in supersedes the latest revision. Revisions of an earlier era
-
 // recordSuperseded records that in supersedes the latest revision. Revisions of an
 // earlier era are forgotten with the first one of a later era.
 func (k *object) recordSuperseded(in *config.Object) {
