--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -24,8 +24,19 @@
 	Address netip.AddrPort `json:"address" validate:"required,hostport4"`
 	// Choices are the services among which new flows are divided.
 	Choices []Choice `json:"choices" validate:"required,min=1,max=64,dive"`
+	// Repeatable marks idempotent requests, which may be sent to a second upstream.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// Priority orders requests that wait for one upstream, 0 first.
+	Priority int `json:"priority,omitempty" validate:"min=0,max=254"`
+	// TargetMillis is the time within which a request should be answered; 0 means
+	// none is stated.
+	TargetMillis int `json:"targetMillis,omitempty" validate:"min=0,max=65535"`
 }
 
+// Target returns the time within which a request should be answered, 0 if none is
+// stated.
+func (r *Route) Target() time.Duration { return time.Duration(r.TargetMillis) * time.Millisecond }
+
 // Choice is one service of a route. Its share of the new flows is in proportion to
 // Weight.
 type Choice struct {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -137,6 +137,10 @@
 	// DisruptedMillis is how long after the start of a process operators count what
 	// happens to its flows as caused by the start.
 	DisruptedMillis int `json:"disruptedMillis" validate:"gte=0,lte=60000"`
+	// ScarceSlots is the largest number of slots of an upstream at which placement and
+	// admission go by the expected wait; 0 means never. Where an upstream has few slots,
+	// one long request delays all that wait behind it.
+	ScarceSlots int `json:"scarceSlots,omitempty" validate:"gte=0,lte=64"`
 }
 
 // PassthroughEntry are the settings of crocus-entry for passed-through flows.
@@ -144,6 +148,15 @@
 	Passthrough
 	// Fabric is the UDP address where packets of callers arrive.
 	Fabric netip.AddrPort `json:"fabric" validate:"required,hostport4"`
+	// Hedge allows opening packets to be offered to a second agent. Without it there
+	// are no hedges.
+	Hedge *Hedge `json:"hedge,omitempty"`
+}
+
+// Hedge limits the extra work that hedged openings may cause.
+type Hedge struct {
+	// Share is the largest share of extra openings on routes with idempotent requests.
+	Share float64 `json:"share" validate:"gt=0,lte=0.2"`
 }
 
 // PassthroughAgent are the settings of crocus-agent for passed-through flows.
--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -43,6 +43,9 @@
 type Load struct {
 	Busy        float64 // unanswered requests, averaged
 	FailureRate float64 // share of its latest requests that failed, 0 to 1
+	// ServiceTime is the time that a request takes once it has a slot, 0 if it is not
+	// known. Only load reports carry it.
+	ServiceTime time.Duration
 }
 
 // agentLoad is an entry's record of an agent's load.
--- a/internal/flow/segment.go
+++ b/internal/flow/segment.go
@@ -7,8 +7,11 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"crocusnotch/internal/config"
 )
 
 // endpointSize is the encoded size of an IPv4 address and a port in bytes.
@@ -99,4 +102,21 @@
 type Metadata struct {
 	Purpose Purpose
 	Service uint32 // tag of the service that the configuration selects for the flow
+	Class   Class  // of the route; only with an opening packet
+}
+
+// Class is what a route states about its requests. The zero value states nothing.
+type Class struct {
+	Stated       bool
+	Priority     uint8  // 0 is the most urgent
+	TargetMillis uint16 // time within which a request should be answered, 0 if none is stated
+}
+
+// Target returns the time within which a request should be answered, 0 if none is
+// stated.
+func (c Class) Target() time.Duration { return time.Duration(c.TargetMillis) * time.Millisecond }
+
+// ClassOf returns the class of a route.
+func ClassOf(r *config.Route) Class {
+	return Class{Stated: true, Priority: uint8(r.Priority), TargetMillis: uint16(r.TargetMillis)}
 }
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -27,7 +28,10 @@
 	KindMayHold    Kind = 8  // an agent cannot determine without its upstream whether it holds the flow
 	KindQuery      Kind = 9  // entry to an agent: query whether it owns the flows
 	KindQueryReply Kind = 10 // the agent's answers to the query
-	kindLimit      Kind = 11
+	KindProbeRelay Kind = 11 // entry to an agent: probe a flow here and at other agents
+	KindProbe      Kind = 12 // a relayed probe
+	KindAbandon    Kind = 13 // entry to an agent: the caller opened the flow at another agent
+	kindLimit      Kind = 14
 )
 
 // Layout of a message in bytes.
@@ -47,10 +51,13 @@
 	headerSize       = offFailing + 2
 	registrationSize = keySize + endpointSize
 	answerSize       = keySize + 1
+	acceptedSeqSize  = 4  // trailer of KindOwned
+	serviceTimeSize  = 2  // trailer of KindLoad
 	maxRegistrations = 60 // keeps the datagram below 1,200 bytes
 	maxQueries       = 80 // keeps the query and its reply below 1,200 bytes
 	busyScale        = 100
 	failureRateScale = 10_000
+	serviceTimeUnit  = 100 * time.Microsecond
 )
 
 // Message is one datagram between entries, or between an entry and an agent. Kind
@@ -65,6 +72,9 @@
 	Registrations []Registration
 	Queries       []flow.Key
 	Answers       []Answer
+	// AcceptedSeq is the sequence number of the upstream's acceptance, in KindOwned. It
+	// is 0 if the agent has not seen the acceptance.
+	AcceptedSeq uint32
 }
 
 // Registration is one flow and its owner.
@@ -116,6 +126,12 @@
 		b = append(b, a.Key[:]...)
 		b = append(b, byte(a.Holding))
 	}
+	switch {
+	case m.Kind == KindOwned && m.AcceptedSeq != 0:
+		b = binary.BigEndian.AppendUint32(b, m.AcceptedSeq)
+	case m.Kind == KindLoad && m.Load.ServiceTime > 0:
+		b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.ServiceTime/serviceTimeUnit, 1<<16-1)))
+	}
 	b = append(b, m.Packet...)
 	// The MAC covers the kind and the reason as well as the body.
 	sum, _ := keys.MAC(keys.SigningGeneration(), keyring.PurposeDatagram, b[start+offBody:])
@@ -161,6 +177,15 @@
 
 // decodeItems decodes the part of a message that follows the header.
 func (m *Message) decodeItems(rest []byte) error {
+	// Both trailers are optional, so that agents of earlier versions are understood.
+	switch {
+	case m.Kind == KindOwned && len(rest) == acceptedSeqSize:
+		m.AcceptedSeq = binary.BigEndian.Uint32(rest)
+		rest = rest[acceptedSeqSize:]
+	case m.Kind == KindLoad && len(rest) == serviceTimeSize:
+		m.Load.ServiceTime = time.Duration(binary.BigEndian.Uint16(rest)) * serviceTimeUnit
+		rest = rest[serviceTimeSize:]
+	}
 	size := itemSize(m.Kind)
 	if size == 0 {
 		m.Packet = rest
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -29,6 +30,8 @@
 		{Kind: KindOwned, Key: sampleKey, Owner: owner, Load: flow.Load{Busy: 2.25, FailureRate: 0.125}, Packet: []byte{}},
 		{Kind: KindRefused, Key: sampleKey, Reason: flow.RefusalCold, Packet: []byte{1, 2, 3}},
 		{Kind: KindQuery, Queries: []flow.Key{sampleKey, {1}}},
+		{Kind: KindOwned, Key: sampleKey, AcceptedSeq: 0x01020304, Packet: []byte{}},
+		{Kind: KindLoad, Load: flow.Load{Busy: 1, ServiceTime: 23500 * time.Microsecond}, Packet: []byte{}},
 		{Kind: KindQueryReply, Answers: []Answer{{Key: sampleKey, Holding: HoldingOwned}, {}}, Load: flow.Load{Busy: 1}},
 		{Kind: KindRegister, Registrations: []Registration{{Key: sampleKey, Owner: owner}, {Key: sampleKey}}},
 	}
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -73,7 +73,7 @@
 	f.state, f.owner, f.stageStart = statePlacing, agent.Addr, now
 	f.tried = append(f.tried, agent.Addr)
 	r.report(Decision{Kind: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
-	r.out.Forward(agent.Addr, flow.Metadata{Purpose: purpose, Service: config.ServiceHash(service)}, packet)
+	r.out.Forward(agent.Addr, flow.Metadata{Purpose: purpose, Service: config.ServiceHash(service), Class: flow.ClassOf(route)}, packet)
 }
 
 // noAgent ends a placement attempt that no agent accepted. The flow is reset only
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -17,6 +17,9 @@
 	// which could saturate the links of small entries, replicas receive no packet,
 	// and the queries to agents wait for the tick and share datagrams.
 	maxDirectSearches = 4
+	// maxDirectQueries bounds the queries of these searches beyond the first one, each a
+	// datagram with a reply: 240 of them in a tick of 25 ms fill a link of 10 Mbit/s.
+	maxDirectQueries = 64
 	// lookupTimeout bounds the wait for the answer of a replica or of all agents:
 	// some hops between availability zones and a busy process.
 	lookupTimeout = 60 * time.Millisecond
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -89,7 +89,7 @@
 // queryAgent queries an agent whether it owns the flow, immediately or at the next
 // tick.
 func (r *Router) queryAgent(now time.Time, agent flow.Endpoint, k flow.Key, f *routedFlow) {
-	if r.searchesInTick < maxDirectSearches {
+	if r.queriesDirectly() {
 		r.unanswered.queried(now, agent)
 		r.out.Query(agent, r.metadata(k, flow.PurposeQuery, agent), f.searchPacket)
 		return
@@ -97,6 +97,13 @@
 	r.pendingQueries[agent] = append(r.pendingQueries[agent], k)
 }
 
+// queriesDirectly reports whether the queries of another search may be sent immediately,
+// each in a datagram of its own.
+func (r *Router) queriesDirectly() bool {
+	datagrams := (r.searchesInTick + 1) * len(r.view.OwnerAddrs)
+	return r.searchesInTick < maxDirectSearches && (r.searchesInTick == 0 || datagrams <= maxDirectQueries)
+}
+
 // flushQueries sends the queries that were queued until the tick.
 func (r *Router) flushQueries(now time.Time) {
 	r.searchesInTick, r.lookupsInTick = 0, 0
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -148,6 +148,36 @@
 	is.True(total <= budget)
 }
 
+// After a loss of power the callers of open flows come back over some seconds, six in a
+// tick at each entry. Queries of its own for each flow at each agent would fill the link of
+// a small entry for that time and delay the replies: they may take half of it.
+func TestSteadySearchesLeaveRoomOnASmallLink(t *testing.T) {
+	is := is.New(t)
+	const (
+		agents          = 60
+		ticks           = 40 // a second
+		searchesPerTick = 6
+		packetOverhead  = 28
+		budget          = 10e6 / 8 / 2 // bytes in a second
+	)
+	sim := newSimulation(t.Fatalf, 3, agents)
+	e := sim.entries[0]
+	sim.advance(time.Second) // the agents have settled
+	out := &trafficCounter{Outbox: e}
+	e.router.out = out
+	for i := range ticks * searchesPerTick {
+		k := flow.KeyOf(flow.EndpointOf(addrOf(9, i)), flow.EndpointOf(routeA))
+		sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 0))
+		if i%searchesPerTick == searchesPerTick-1 {
+			sim.deliverAll()
+			sim.advance(tickPeriod)
+		}
+	}
+	total := out.bytes + packetOverhead*out.datagrams
+	t.Logf("%d datagrams, %d bytes", out.datagrams, total)
+	is.True(total <= budget)
+}
+
 // Removing an agent from the owners, such as one without an upstream 2 s after a power
 // loss, does not delay resets; a new agent does, since it may own flows.
 func TestOnlyNewAgentsDelayResets(t *testing.T) {
