--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -330,6 +330,7 @@
 			c := sim.open(1, routeA, func() *simEntry { return sim.entries[0] })
 			is.True(c.open)
 			sim.request(c, sim.entries[0]) // opens the flow at the upstream
+			sim.advance(answerPause)       // its answer is complete
 			for _, a := range sim.agents {
 				if a.upstream == c.owner {
 					end(a)
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -104,6 +104,7 @@
 	TrackerOptions
 	serviceTag      uint32
 	flows           map[flow.Key]*trackedFlow
+	ending          endingFlows
 	returned        map[flow.Key]time.Time // when the upstream last returned a packet of a flow that it does not hold
 	upstream        flow.Upstream
 	admission       flow.Admission
@@ -141,6 +142,7 @@
 		TrackerOptions: o,
 		serviceTag:     config.ServiceHash(o.Service),
 		flows:          map[flow.Key]*trackedFlow{},
+		ending:         endingFlows{},
 		returned:       map[flow.Key]time.Time{},
 		upstream:       flow.NewUpstream(o.Started),
 		idleTimeout:    o.MaxAge,
@@ -191,7 +193,7 @@
 	switch {
 	case outcome != flow.AnnounceChanged || before == 0:
 	case last.Ended:
-		t.endFlows(before, now)
+		t.finishFlows(before, now)
 	case last.StartMillis != before:
 		t.endFlows(before, lastAnnounced)
 	}
@@ -205,7 +207,7 @@
 func (t *Tracker) endFlows(startMillis int64, until time.Time) {
 	for k, f := range t.flows {
 		switch {
-		case f.upstreamStart != startMillis:
+		case f.upstreamStart != startMillis || t.isEnding(k):
 		case f.openedAt.After(until):
 			f.upstreamStart = 0
 		default:
@@ -257,6 +259,10 @@
 		t.handleUnknownFlow(now, k, from, meta, packet)
 		return
 	}
+	if s.Data > 0 && !f.busy && t.isEnding(k) {
+		t.endFlow(k, f, s.Ack) // a new request, which the upstream does not accept
+		return
+	}
 	f.entry, f.lastSeen, f.lastAck = from, now, s.Ack
 	f.used = f.used || f.state == trackedOpen
 	switch {
--- a/internal/passthrough/tracker_tick.go
+++ b/internal/passthrough/tracker_tick.go
@@ -41,6 +41,7 @@
 	t.outcomes.Tick()
 	t.checkFailureRate()
 	t.checkUpstreamTimeout(now)
+	t.endAnsweredFlows(now)
 	for _, entry := range slices.SortedFunc(maps.Keys(t.subscribers), flow.Endpoint.Compare) {
 		s := t.subscribers[entry]
 		if now.Sub(s.lastSeen) > subscriberTTL {
