--- a/internal/membership/objects.go
+++ b/internal/membership/objects.go
@@ -62,13 +62,6 @@
 
 func (o *objects) get(id config.ID) *object { return o.buckets[bucketOf(idKey(id))][id] }
 
-func (o *objects) revision(id config.ID) uint64 {
-	if known := o.get(id); known != nil {
-		return known.latest.Revision
-	}
-	return 0
-}
-
 // putIfNewer stores an object that supersedes the known one. It returns nil when it
 // does not. An invalid revision is stored so that it can be sent to others, but the
 // last valid one stays in force.
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -30,6 +30,14 @@
 	cpu         time.Duration // time in the core and the codec
 }
 
+// revision returns the revision of an object as last received, 0 if it is not known.
+func (o *objects) revision(id config.ID) uint64 {
+	if known := o.get(id); known != nil {
+		return known.latest.Revision
+	}
+	return 0
+}
+
 // simDatagram is a sealed message in transit.
 type simDatagram struct {
 	at   time.Time
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -38,10 +38,6 @@
 	return era, nil
 }
 
-// Era returns the store's era according to its last responses, 0 before the first
-// one that contains an era.
-func (c *Client) Era() uint64 { return c.era.Load() }
-
 // withEra returns the snapshot with the era added to its revisions.
 func (s Snapshot) withEra(era uint64) Snapshot {
 	s.Revision = config.JoinRevision(era, s.Revision)
--- a/internal/platform/era_test.go
+++ b/internal/platform/era_test.go
@@ -102,7 +102,7 @@
 	is.NoErr(err)
 	is.Equal(list.Revision, config.JoinRevision(7, 1))
 	is.Equal(list.Objects[0].Revision, config.JoinRevision(7, 1))
-	is.Equal(c.Era(), uint64(7))
+	is.Equal(c.era.Load(), uint64(7))
 }
 
 // A response without an era, or with one that can't be read, belongs to the last known
@@ -265,7 +265,7 @@
 		case lateAnswer:
 			late.deliverHeld = true
 			o, err := clients[writeOfA].Get(ctx, zoneA)
-			is.True(err != nil || config.EraOf(o.Revision) == clients[writeOfA].Era()) // of the last known era
+			is.True(err != nil || config.EraOf(o.Revision) == clients[writeOfA].era.Load()) // of the last known era
 		default:
 			replaced := s.object
 			_, err := clients[event].Update(ctx, zoneA, read[event].Revision, []byte(event))
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/standin/backup"
 )
 
 // MaxValueBytes is the maximum size of an object's value.
@@ -41,31 +42,32 @@
 	historyLimit int
 	changed      chan struct{} // closed and replaced at every change
 	era          uint64        // rises with every restore
-	copies       []snapshot    // oldest first
+	copies       *backup.Copies[snapshot]
 }
 
-// snapshot is the content of the store after a change.
+// snapshot is the content of the store.
 type snapshot struct {
-	at       time.Time
 	revision uint64
 	objects  map[config.ID]config.Object
 }
 
-const (
-	firstEra = 1
-	// copyRetention is the age up to which the store can be restored.
-	copyRetention = time.Minute
-)
+func (s snapshot) clone() snapshot {
+	return snapshot{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+const firstEra = 1
 
 func newState(history int) *state {
 	if history <= 0 {
 		history = defaultHistory
 	}
+	objects := map[config.ID]config.Object{}
 	return &state{
-		objects:      map[config.ID]config.Object{},
+		objects:      objects,
 		historyLimit: history,
 		changed:      make(chan struct{}),
 		era:          firstEra,
+		copies:       backup.New(snapshot{objects: objects}, snapshot.clone),
 	}
 }
 
@@ -110,34 +112,17 @@
 		s.objects[id] = o
 	}
 	s.appendHistory(o)
-	s.recordCopy(time.Now())
+	s.copies.Record(time.Now(), snapshot{revision: s.revision, objects: s.objects})
 	return o, true
 }
 
-// recordCopy keeps the content for a later restore.
-func (s *state) recordCopy(now time.Time) {
-	expired := 0
-	for i, c := range s.copies {
-		if now.Sub(c.at) > copyRetention {
-			expired = i // the last one of them is the content at that age
-		}
-	}
-	s.copies = append(s.copies[expired:], snapshot{at: now, revision: s.revision, objects: maps.Clone(s.objects)})
-}
-
 // restore replaces the content by a copy of the given age. Later changes are lost, their
 // revisions are given out again, the history is gone and the era rises by one.
 func (s *state) restore(now time.Time, age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	restored := snapshot{objects: map[config.ID]config.Object{}}
-	for _, c := range s.copies {
-		if now.Sub(c.at) >= age {
-			restored = c
-		}
-	}
-	s.revision, s.objects = restored.revision, maps.Clone(restored.objects)
-	s.copies = []snapshot{restored}
+	restored := s.copies.Restore(now, age)
+	s.revision, s.objects = restored.revision, restored.objects
 	s.history, s.compacted = nil, s.revision
 	s.era++
 	close(s.changed)
