--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -93,38 +94,61 @@
 	return a
 }
 
+// known returns a copy of what is recorded about an agent, the zero value if nothing is.
+func (p *Placement) known(agent Endpoint) agentLoad {
+	if a := p.loads[agent]; a != nil {
+		return *a
+	}
+	return agentLoad{}
+}
+
 // Choose returns the agent with the lowest score among those not tried before,
 // and adds the flow to its load. Suspect agents and those that did not answer are
 // used only when no others are left. ok is false when all were tried.
 func (p *Placement) Choose(now time.Time, k Key, agents []Agent, tried []Endpoint) (agent Agent, ok bool) {
-	bestIndex, lowestScore := -1, math.Inf(1)
-	hash := k.Hash()
-	step := max(1, len(agents)/sampleSize)
-	for i := int(hash % uint64(step)); i < len(agents); i += step {
-		if contains(tried, agents[i].Addr) {
-			continue
-		}
-		score := p.score(now, &agents[i], hash)
+	lowestScore := math.Inf(1)
+	for a, score := range p.candidates(now, k, agents, tried) {
 		if score < lowestScore {
-			bestIndex, lowestScore = i, score
+			agent, lowestScore, ok = *a, score, true
 		}
 	}
-	if bestIndex < 0 && step > 1 {
-		// The whole sample was tried: take any other agent.
-		bestIndex = slices.IndexFunc(agents, func(a Agent) bool { return !contains(tried, a.Addr) })
+	if ok {
+		p.load(agent.Addr).openings++
 	}
-	if bestIndex < 0 {
-		return Agent{}, false
+	return agent, ok
+}
+
+// candidates returns the agents that a new flow may be placed on and their scores: the
+// sample of the flow without those tried before or, if none of it is left, any other
+// agent.
+func (p *Placement) candidates(now time.Time, k Key, agents []Agent, tried []Endpoint) iter.Seq2[*Agent, float64] {
+	return func(yield func(*Agent, float64) bool) {
+		hash := k.Hash()
+		step := max(1, len(agents)/sampleSize)
+		none := true
+		for i := int(hash % uint64(step)); i < len(agents); i += step {
+			if contains(tried, agents[i].Addr) {
+				continue
+			}
+			none = false
+			if !yield(&agents[i], p.score(now, &agents[i], hash)) {
+				return
+			}
+		}
+		if !none || step == 1 {
+			return
+		}
+		if i := slices.IndexFunc(agents, func(a Agent) bool { return !contains(tried, a.Addr) }); i >= 0 {
+			yield(&agents[i], p.score(now, &agents[i], hash))
+		}
 	}
-	p.load(agents[bestIndex].Addr).openings++
-	return agents[bestIndex], true
 }
 
 // avoidPenalty exceeds the score of any agent that is not avoided.
 const avoidPenalty = 1e6
 
 func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
-	l := p.load(a.Addr)
+	l := p.known(a.Addr)
 	busy := baseLoad + newFlowLoad*float64(l.openings)
 	failureRate := 0.0
 	if now.Sub(l.reportedAt) < ReportTTL {
