--- a/cmd/crocusctl/commands.go
+++ b/cmd/crocusctl/commands.go
@@ -28,6 +28,7 @@
 		c.newSubcommand("get", "list the services and zones in the store", c.get),
 		c.newSubcommand("status", "show every process, its configuration and the flows and streams that a stop would break", c.status).forAnyTransport(),
 		c.newNamedSubcommand("explain", "NAME", "show recent changes of a service, upstream, flow, zone or process and their causes", c.explain).forAnyTransport(),
+		c.whereCommand(),
 		c.zoneCommand(),
 		c.keysCommand(),
 	}
--- a/cmd/crocusctl/main.go
+++ b/cmd/crocusctl/main.go
@@ -49,7 +49,7 @@
 	}
 	_, _ = fmt.Fprintln(w, err)
 	var invalid *config.InvalidError
-	if errors.As(err, &invalid) || errors.Is(err, errUsage) {
+	if errors.As(err, &invalid) || errors.Is(err, errUsage) || errors.Is(err, errInvalidAddress) {
 		return exitInvalid
 	}
 	var conflict *platform.ConflictError
@@ -69,6 +69,9 @@
 	file         string
 	name         string
 	key          string
+	caller       string
+	entry        string
+	json         bool
 	subs         []subcommand
 	run          func(context.Context) error
 	settings     config.Control
--- a/internal/fleet/bounds_test.go
+++ b/internal/fleet/bounds_test.go
@@ -7,7 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/membership"
@@ -202,5 +204,16 @@
 		is.NoErr(call(context.Background(), memberAddr("e1"), wire.MethodExplain, params, &events))
 		is.Equal(events.Events[0].Change, "unknown to ready")
 		is.True(call(context.Background(), memberAddr("e1"), "fleet.unknown", nil, nil) != nil)
+
+		var where wire.WhereResult
+		err := call(context.Background(), memberAddr("e1"), wire.MethodWhere, wire.WhereParams{}, &where)
+		var answer *jsonrpc2.Error
+		is.True(errors.As(err, &answer))
+		is.Equal(answer.Code, int64(jsonrpc2.CodeMethodNotFound)) // no function is set
+		b.nodes["e1@pier"].SetWhere(func(p wire.WhereParams) (wire.WhereResult, error) {
+			return wire.WhereResult{Address: p.Address}, nil
+		})
+		is.NoErr(call(context.Background(), memberAddr("e1"), wire.MethodWhere, wire.WhereParams{Address: "a"}, &where))
+		is.Equal(where.Address, "a")
 	})
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -95,6 +95,16 @@
 			return nil, err
 		}
 		return wire.ExplainResult{Events: n.events.Find(p.Name)}, nil
+	case wire.MethodWhere:
+		answer := n.where.Load()
+		if answer == nil {
+			break
+		}
+		var p wire.WhereParams
+		if err := decodeParams(r, &p); err != nil {
+			return nil, err
+		}
+		return (*answer)(p)
 	case wire.MethodSnapshot:
 		var p wire.SnapshotParams
 		if err := decodeParams(r, &p); err != nil {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -129,6 +129,7 @@
 	restarted      atomic.Bool   // see membership.Core.Restarted
 	started        time.Time
 	fillStatus     atomic.Pointer[func(*wire.Status)]
+	where          atomic.Pointer[func(wire.WhereParams) (wire.WhereResult, error)]
 	bytesIn        atomic.Uint64
 	bytesOut       atomic.Uint64
 
@@ -303,6 +304,12 @@
 // SetStatus sets a function that adds the caller's part to each status reply.
 func (n *Node) SetStatus(fill func(*wire.Status)) { n.fillStatus.Store(&fill) }
 
+// SetWhere sets the function that answers wire.MethodWhere. Without one the method is
+// unknown.
+func (n *Node) SetWhere(answer func(wire.WhereParams) (wire.WhereResult, error)) {
+	n.where.Store(&answer)
+}
+
 // Watch returns a channel that receives a signal after each change of the
 // configuration or the members. Signals that have not been received are merged into
 // one.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -71,6 +71,7 @@
 		return nil, errors.Join(err, e.callers.Close(), e.data.Close())
 	}
 	e.fleet.SetStatus(e.fillStatus)
+	e.fleet.SetWhere(e.where)
 	return e, nil
 }
 
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -59,6 +59,7 @@
 	Restarted() bool
 	Events() *explain.Ring
 	SetStatus(fill func(*wire.Status))
+	SetWhere(answer func(wire.WhereParams) (wire.WhereResult, error))
 	Leave(ctx context.Context)
 }
 
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -9,6 +9,7 @@
 
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/flow"
+	"crocusnotch/internal/membership"
 )
 
 const (
@@ -79,6 +80,9 @@
 	// RecentServices are the services that each address has, or had within the
 	// maximum age of a flow.
 	RecentServices map[netip.AddrPort][]string
+
+	excluded map[uint16][]excludedAgent // by service ID: agents that get no new flows
+	members  []membership.Record        // that the view was built from
 }
 
 // Owner is an agent that may own flows.
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -59,6 +59,9 @@
 		Agents:  map[uint16][]flow.Agent{},
 		Owners:  map[flow.Endpoint]Owner{},
 		Fleet:   fleet,
+
+		excluded: map[uint16][]excludedAgent{},
+		members:  members,
 	}
 	for i := range members {
 		m := &members[i]
@@ -138,18 +141,20 @@
 	return b.zones[id-1]
 }
 
-// addAgent adds the agent to the view if new flows may be placed on it.
+// addAgent adds the agent to those that new flows may be placed on, or to the excluded ones.
 func (b *viewBuilder) addAgent(v *View, m *membership.Record) {
 	zone := b.zoneName(m.Zone)
-	if m.State == membership.StateDraining || v.Fleet.ZonesOut[zone] {
-		return
-	}
-	v.Agents[m.Service] = append(v.Agents[m.Service], flow.Agent{
+	a := flow.Agent{
 		Addr:    flow.EndpointOf(m.Addr),
 		Zone:    zone,
 		Slots:   int(m.Slots),
 		Suspect: m.State == membership.StateSuspect,
-	})
+	}
+	if why := exclusionOf(m, zone, v.Fleet); why != "" {
+		v.excluded[m.Service] = append(v.excluded[m.Service], excludedAgent{a, why})
+		return
+	}
+	v.Agents[m.Service] = append(v.Agents[m.Service], a)
 }
 
 func (b *viewBuilder) addOwners(now time.Time, v *View) {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -3,7 +3,8 @@
 import "crocusnotch/internal/explain"
 
 // Methods of the jsonrpc2 service that every entry and agent serves on its
-// control address over mutual TLS.
+// control address over mutual TLS. Entries of passed-through flows also serve
+// MethodWhere.
 const (
 	MethodStatus   = "fleet.status"   // no parameters, returns Status
 	MethodExplain  = "fleet.explain"  // ExplainParams, returns ExplainResult
