--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -74,6 +74,9 @@
 	// MaxAge is the time since the configuration was last verified after which an
 	// entry that does not watch the store reads it; with 0 only the watchers read it.
 	MaxAge time.Duration
+	// FirstInterval is the mean interval at which a process without a configuration reads
+	// it, and FirstTimeout the timeout of each of these reads. With 0 it reads like others.
+	FirstInterval, FirstTimeout time.Duration
 }
 
 // JoinOptions configures the search for peers.
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -42,6 +42,9 @@
 	lifecycle.Sleep(ctx, first+time.Duration(r.Int64N(int64(first))))
 	from := uint64(0)
 	backoff := watchBackoffMin
+	if n.opts.StoreReads.FirstInterval > 0 {
+		n.readFirstConfig(ctx, r)
+	}
 	for ctx.Err() == nil {
 		wait, due := n.storeReadDue(r)
 		if !due {
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -32,6 +32,12 @@
 	// firstReadDelay is the shortest time from the start to the first read of the
 	// store; until then peers are queried.
 	firstReadDelay = 40 * time.Millisecond
+	// firstReadInterval is the interval of reads while no configuration is known: nothing
+	// is served until one succeeds, which takes milliseconds once the store is back.
+	firstReadInterval = 300 * time.Millisecond
+	// firstReadTimeout bounds these reads. A store that is slowed down a hundredfold takes
+	// half a second for each of two kinds.
+	firstReadTimeout = 1200 * time.Millisecond
 	// joinTimeout bounds the request for one snapshot: a seed may be unreachable.
 	joinTimeout = 400 * time.Millisecond
 	// joinBackoffMin and joinBackoffMax bound the pause between two attempts to
@@ -105,6 +111,9 @@
 			FirstDelay:   firstReadDelay,
 			BackoffMax:   readBackoffMax,
 			MaxAge:       configStaleAfter,
+
+			FirstInterval: firstReadInterval,
+			FirstTimeout:  firstReadTimeout,
 		},
 		Join: fleet.JoinOptions{
 			SnapshotTimeout: joinTimeout, BackoffMin: joinBackoffMin, BackoffMax: joinBackoffMax, RosterInterval: rosterReadInterval,
