--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -47,6 +47,7 @@
 		return nil, err
 	}
 	a.tracker = NewTracker(TrackerOptions{
+		Self:            flow.EndpointOf(s.Data),
 		Service:         s.Service,
 		Started:         time.Now(),
 		MaxAge:          s.FlowMax(),
@@ -233,16 +234,14 @@
 	a.tracker.Packet(time.Now(), flow.EndpointOf(from), &s, b)
 }
 
-// handleMessage handles a message from an entry. Entries send only queries.
+// handleMessage handles a message from an entry or a relay.
 func (a *Agent) handleMessage(from netip.AddrPort, m *Message) {
-	if m.Kind != KindQuery {
-		a.counters.countDropped(dropMalformed)
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.tracker.SetRestarted(a.fleet.Restarted())
-	a.tracker.Query(time.Now(), flow.EndpointOf(from), m.Queries)
+	if !a.tracker.Message(time.Now(), flow.EndpointOf(from), m) {
+		a.counters.countDropped(dropMalformed)
+	}
 }
 
 func (a *Agent) handleUpstreamPacket(_ netip.AddrPort, b []byte) {
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -53,6 +53,11 @@
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
 )
 
+// DecisionProbeRelay is a decision of entries and agents: a packet of a search goes to
+// Tries more agents through a relay. With the reason "unanswered" an entry sends it to
+// Tries agents directly, since they did not answer after an earlier relay.
+const DecisionProbeRelay = "probe-relay"
+
 // Decisions of agents.
 const (
 	DecisionAdmit           = "admit"
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -53,6 +53,8 @@
 	answerSize       = keySize + 1
 	acceptedSeqSize  = 4  // trailer of KindOwned
 	serviceTimeSize  = 2  // trailer of KindLoad
+	probeMetaSize    = 5  // purpose and service tag, before the packet of a probe
+	agentCountSize   = 1  // precedes the agents of KindProbeRelay
 	maxRegistrations = 60 // keeps the datagram below 1,200 bytes
 	maxQueries       = 80 // keeps the query and its reply below 1,200 bytes
 	busyScale        = 100
@@ -75,6 +77,10 @@
 	// AcceptedSeq is the sequence number of the upstream's acceptance, in KindOwned. It
 	// is 0 if the agent has not seen the acceptance.
 	AcceptedSeq uint32
+	// Meta is the purpose and the service tag of the packet, in KindProbeRelay and
+	// KindProbe.
+	Meta   flow.Metadata
+	Agents []flow.Endpoint // that the receiver sends the probe to, in KindProbeRelay
 }
 
 // Registration is one flow and its owner.
@@ -131,6 +137,8 @@
 		b = binary.BigEndian.AppendUint32(b, m.AcceptedSeq)
 	case m.Kind == KindLoad && m.Load.ServiceTime > 0:
 		b = binary.BigEndian.AppendUint16(b, uint16(min(m.Load.ServiceTime/serviceTimeUnit, 1<<16-1)))
+	case m.Kind == KindProbeRelay || m.Kind == KindProbe:
+		b = m.appendProbe(b)
 	}
 	b = append(b, m.Packet...)
 	// The MAC covers the kind and the reason as well as the body.
@@ -177,7 +185,8 @@
 
 // decodeItems decodes the part of a message that follows the header.
 func (m *Message) decodeItems(rest []byte) error {
-	// Both trailers are optional, so that agents of earlier versions are understood.
+	// The trailers of KindOwned and KindLoad are optional, so that agents of earlier
+	// versions are understood.
 	switch {
 	case m.Kind == KindOwned && len(rest) == acceptedSeqSize:
 		m.AcceptedSeq = binary.BigEndian.Uint32(rest)
@@ -185,6 +194,8 @@
 	case m.Kind == KindLoad && len(rest) == serviceTimeSize:
 		m.Load.ServiceTime = time.Duration(binary.BigEndian.Uint16(rest)) * serviceTimeUnit
 		rest = rest[serviceTimeSize:]
+	case m.Kind == KindProbeRelay || m.Kind == KindProbe:
+		return m.decodeProbe(rest)
 	}
 	size := itemSize(m.Kind)
 	if size == 0 {
@@ -207,3 +218,41 @@
 	}
 	return nil
 }
+
+// appendProbe encodes what precedes the packet of a probe.
+func (m *Message) appendProbe(b []byte) []byte {
+	b = append(b, byte(m.Meta.Purpose))
+	b = binary.BigEndian.AppendUint32(b, m.Meta.Service)
+	if m.Kind == KindProbeRelay {
+		b = append(b, byte(len(m.Agents)))
+		for _, a := range m.Agents {
+			b = append(b, a[:]...)
+		}
+	}
+	return b
+}
+
+// decodeProbe decodes the part of a probe that follows the header.
+func (m *Message) decodeProbe(rest []byte) error {
+	if len(rest) < probeMetaSize || flow.Purpose(rest[0]) != flow.PurposeSearch {
+		return ErrMalformed
+	}
+	m.Meta = flow.Metadata{Purpose: flow.PurposeSearch, Service: binary.BigEndian.Uint32(rest[1:])}
+	rest = rest[probeMetaSize:]
+	if m.Kind == KindProbeRelay {
+		if len(rest) < agentCountSize {
+			return ErrMalformed
+		}
+		count := int(rest[0])
+		rest = rest[agentCountSize:]
+		if count > maxRelayedProbes || len(rest) < count*endpointSize {
+			return ErrMalformed
+		}
+		for range count {
+			m.Agents = append(m.Agents, flow.Endpoint(rest[:endpointSize]))
+			rest = rest[endpointSize:]
+		}
+	}
+	m.Packet = rest
+	return nil
+}
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -33,6 +33,11 @@
 		{Kind: KindOwned, Key: sampleKey, AcceptedSeq: 0x01020304, Packet: []byte{}},
 		{Kind: KindLoad, Load: flow.Load{Busy: 1, ServiceTime: 23500 * time.Microsecond}, Packet: []byte{}},
 		{Kind: KindQueryReply, Answers: []Answer{{Key: sampleKey, Holding: HoldingOwned}, {}}, Load: flow.Load{Busy: 1}},
+		{
+			Kind: KindProbeRelay, Key: sampleKey, Owner: owner, Meta: flow.Metadata{Purpose: flow.PurposeSearch, Service: 7},
+			Agents: []flow.Endpoint{{1}, owner}, Packet: []byte{1, 2, 3},
+		},
+		{Kind: KindProbe, Key: sampleKey, Owner: owner, Meta: flow.Metadata{Purpose: flow.PurposeSearch, Service: 7}, Packet: []byte{4}},
 		{Kind: KindRegister, Registrations: []Registration{{Key: sampleKey, Owner: owner}, {Key: sampleKey}}},
 	}
 }
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -111,7 +111,7 @@
 		r.out.Forward(m.Owner, r.metadata(m.Key, flow.PurposeOwner, m.Owner), f.searchPacket)
 	}
 	f.state, f.owner, f.searchPacket, f.tried, f.replies = stateOwned, m.Owner, nil, nil, nil
-	f.replicas = flow.Replicas{}
+	f.replicas, f.relayed = flow.Replicas{}, nil
 	r.register(m.Key, f)
 	r.flushQueue(m.Key, f)
 }
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -233,9 +233,14 @@
 
 // Under any sequence of restarts, drains and replacements, an open flow stays with
 // its upstream, is not reset while that runs, and never reaches a wrong service.
-func TestFleetKeepsFlows(t *testing.T) {
+func TestFleetKeepsFlows(t *testing.T) { checkFleetKeepsFlows(t, 6) }
+
+// The same with enough agents in a zone that their probes are relayed.
+func TestFleetWithRelayedProbesKeepsFlows(t *testing.T) { checkFleetKeepsFlows(t, 18) }
+
+func checkFleetKeepsFlows(t *testing.T, agents int) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &faultMachine{simulation: newSimulation(func(f string, a ...any) { t.Fatalf(f, a...) }, 3, 6), t: t}
+		m := &faultMachine{simulation: newSimulation(func(f string, a ...any) { t.Fatalf(f, a...) }, 3, agents), t: t}
 		m.advance(agentSettleTime + tickPeriod)
 		t.Repeat(map[string]func(*rapid.T){
 			"open":             func(*rapid.T) { m.openFlow() },
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -98,8 +98,8 @@
 	Forward(agent flow.Endpoint, meta flow.Metadata, packet []byte)
 	// Query queries an agent whether it owns the flow of a packet.
 	Query(agent flow.Endpoint, meta flow.Metadata, packet []byte)
-	// SendMessage sends a message to an entry.
-	SendMessage(entry flow.Endpoint, m *Message)
+	// SendMessage sends a message to an entry or an agent.
+	SendMessage(to flow.Endpoint, m *Message)
 	// Reset resets a flow at its caller.
 	Reset(k flow.Key, seq uint32)
 }
@@ -151,6 +151,11 @@
 	probedAt         time.Time // when agents last received the packet of the search
 	openedAt         time.Time
 	lastSeen         time.Time
+
+	// relayed are the agents whose last probe of this search was relayed.
+	relayed []flow.Endpoint
+	// probeAttempts is the number of probes of a zone so far, which selects the relay.
+	probeAttempts uint8
 }
 
 // Router is the state machine of an entry: it selects the agent for each packet
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -42,7 +42,7 @@
 func (r *Router) queryAgents(now time.Time, k flow.Key, f *routedFlow, except flow.Endpoint) {
 	f.stageStart, f.searchedAt, f.stage = now, now, flow.ReplicaCount
 	f.queriedAll = len(r.view.Owners) <= searchAllLimit
-	f.queried, f.replies = 0, f.replies[:0]
+	f.queried, f.replies, f.relayed = 0, f.replies[:0], nil
 	if !except.IsZero() {
 		f.queried, f.replies = 1, append(f.replies, reply{agent: except, state: replyDenied})
 	}
@@ -83,7 +83,7 @@
 func (r *Router) abandonSearch(now time.Time, k flow.Key, f *routedFlow, reason string) {
 	r.report(Decision{Kind: DecisionNotFound, Reason: reason, Key: k, Age: now.Sub(f.openedAt)})
 	delete(r.searching, k)
-	f.state, f.searchPacket, f.queued = stateUnknown, nil, nil
+	f.state, f.searchPacket, f.queued, f.relayed = stateUnknown, nil, nil, nil
 }
 
 // queryAgent queries an agent whether it owns the flow, immediately or at the next
@@ -136,6 +136,7 @@
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
 		r.concludeUnowned(k, f)
+	case r.probeDirectly(now, k, f):
 	case len(unanswered) > 0 && now.Sub(f.searchedAt) >= searchInterval:
 		f.searchedAt = now
 		r.queryAgain(now, k, f, unanswered, unanswered)
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -54,7 +54,7 @@
 // its turn.
 func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
 	delete(r.searching, k)
-	f.searchPacket, f.queued = nil, nil
+	f.searchPacket, f.queued, f.relayed = nil, nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state, f.resetPending = stateUnowned, true
 	r.resets.add(k)
@@ -105,6 +105,7 @@
 		return false
 	}
 	f.stageStart, f.probedAt = now, now
+	var agents []flow.Endpoint
 	for i := range f.replies {
 		a := &f.replies[i]
 		switch {
@@ -113,20 +114,31 @@
 			a.state = replyProbeTimeout
 		case r.view.Owners[a.agent].Zone == zone:
 			a.hasPacket = true
-			r.out.Forward(a.agent, r.metadata(k, flow.PurposeSearch, a.agent), f.searchPacket)
+			agents = append(agents, a.agent)
 		}
 	}
+	r.sendProbes(k, f, agents)
 	return true
 }
 
 // nextZone returns the zone whose agents receive the packet next: the local one, or
-// that of the first agent that has not received it. ok is false when there is none.
+// that of the first agent that has not received it. Zones out of service come last,
+// since no new flows were placed there lately. ok is false when there is none.
 func (r *Router) nextZone(f *routedFlow) (zone string, ok bool) {
+	rank := func(zone string) int {
+		switch {
+		case r.view.Fleet.ZonesOut[zone]:
+			return 2
+		case zone == r.zone:
+			return 0
+		}
+		return 1
+	}
 	for _, a := range f.replies {
 		if a.state != replyUnknown || a.hasPacket {
 			continue
 		}
-		if z := r.view.Owners[a.agent].Zone; !ok || z == r.zone {
+		if z := r.view.Owners[a.agent].Zone; !ok || rank(z) < rank(zone) {
 			zone, ok = z, true
 		}
 	}
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -13,7 +13,7 @@
 	"crocusnotch/internal/flow"
 )
 
-// packetCounter counts the packets that an entry forwards, by agent.
+// packetCounter counts the packets that an entry forwards or has relayed, by agent.
 type packetCounter struct {
 	Outbox
 	to map[flow.Endpoint]int
@@ -24,6 +24,16 @@
 	c.Outbox.Forward(agent, meta, packet)
 }
 
+func (c *packetCounter) SendMessage(to flow.Endpoint, m *Message) {
+	if m.Kind == KindProbeRelay {
+		c.to[to]++
+		for _, agent := range m.Agents {
+			c.to[agent]++
+		}
+	}
+	c.Outbox.SendMessage(to, m)
+}
+
 // restartAllProcesses restarts every entry and agent while the upstreams keep running.
 func (sim *simulation) restartAllProcesses() {
 	for _, e := range sim.entries {
--- a/internal/passthrough/sender.go
+++ b/internal/passthrough/sender.go
@@ -17,10 +17,10 @@
 	scratch    []byte
 }
 
-// SendMessage sends a message to an entry.
-func (s *sender) SendMessage(entry flow.Endpoint, m *Message) {
+// SendMessage sends a message to an entry or an agent.
+func (s *sender) SendMessage(to flow.Endpoint, m *Message) {
 	s.scratch = m.Append(s.scratch[:0], s.keys)
-	s.send(s.data, s.scratch, entry.AddrPort())
+	s.send(s.data, s.scratch, to.AddrPort())
 }
 
 // sendReset resets a flow at its caller by a packet from the socket.
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -91,6 +91,8 @@
 	routeA    = netip.MustParseAddrPort("198.18.0.1:443")
 	routeB    = netip.MustParseAddrPort("198.18.0.2:443")
 	zoneNames = []string{"z1", "z2"}
+	// allZoneNames adds a zone that only tests use which move agents there.
+	allZoneNames = append(zoneNames[:2:2], "z3")
 )
 
 func addrOf(kind byte, i int) netip.AddrPort {
@@ -136,14 +138,14 @@
 	e.router = NewRouter("z1", simFlowMax, e, func(Decision) {})
 	e.router.SetDisrupted(simDisrupted)
 	e.views = newViewBuilder(&config.Passthrough{
-		Data: e.addr.AddrPort(), Zones: map[string]string{"z1": "r", "z2": "r"}, FlowMaxSeconds: simFlowMax.Seconds(),
+		Data: e.addr.AddrPort(), Zones: map[string]string{"z1": "r", "z2": "r", "z3": "r"}, FlowMaxSeconds: simFlowMax.Seconds(),
 	})
 	e.up = true
 }
 
 func (a *simAgent) start() {
 	a.tracker = NewTracker(TrackerOptions{
-		Service: a.service, Started: a.sim.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
+		Self: a.addr, Service: a.service, Started: a.sim.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
 		Codec: codec, Out: a, Observe: func(Decision) {}, ObserveAnswer: func(time.Duration) {},
 	})
 	a.tracker.Configure(flow.Limits{}, a.sim.fleet.FlowIdle, a.sim.fleet.ZonesOut[a.zone])
@@ -180,7 +182,7 @@
 		State: memberState(a.tracker.State(a.sim.now)), Slots: uint16(a.tracker.Last().Slots),
 		Incarnation: uint64(a.tracker.Started.UnixMilli()),
 	}
-	for i, z := range zoneNames {
+	for i, z := range allZoneNames {
 		if z == a.zone {
 			r.Zone = uint8(i + 1)
 		}
@@ -308,7 +310,7 @@
 		}
 		for _, a := range sim.agents {
 			if a.addr == to && a.up && !a.removed {
-				a.tracker.Query(sim.now, from, copied.Queries)
+				a.tracker.Message(sim.now, from, &copied)
 			}
 		}
 	})
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -53,8 +53,8 @@
 	ToUpstream(packet []byte)
 	// ToCaller sends an upstream's packet to its caller.
 	ToCaller(k flow.Key, packet []byte)
-	// SendMessage sends a message to an entry.
-	SendMessage(entry flow.Endpoint, m *Message)
+	// SendMessage sends a message to an entry, or a relayed probe to an agent.
+	SendMessage(to flow.Endpoint, m *Message)
 	// Reset resets a flow at its caller.
 	Reset(k flow.Key, seq uint32)
 }
@@ -86,6 +86,7 @@
 
 // TrackerOptions are the options of a Tracker.
 type TrackerOptions struct {
+	Self            flow.Endpoint // data address of the agent
 	Service         string
 	Started         time.Time     // start of the agent's process
 	MaxAge          time.Duration // maximum age of a flow
