--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -51,6 +51,7 @@
 	DecisionNotFound = "not-found" // no agent confirmed that it owns the flow
 	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
+	DecisionSettled  = "settled"   // the set of agents counts as complete; Tries is the number of new ones, Age the time without another
 )
 
 // Decisions of agents.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -87,7 +87,7 @@
 	s.Observations = append(
 		s.Observations,
 		wire.Observation{Subject: "routes", Value: fmt.Sprintf("version %d, %d routes", v.Fleet.RoutesVersion, len(v.Fleet.Routes)), AgeMillis: ageMillis(verifiedAt)},
-		wire.Observation{Subject: "agents that take flows", Value: strconv.Itoa(agents), AgeMillis: ageMillis(e.router.agentsChanged)},
+		wire.Observation{Subject: "agents that take flows", Value: strconv.Itoa(agents), AgeMillis: ageMillis(e.router.joins.Last())},
 		wire.Observation{Subject: "flows", Value: strconv.Itoa(e.router.Flows())},
 	)
 	for zone := range v.Fleet.ZonesOut {
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -166,7 +166,7 @@
 	m.syncViews()
 	m.restartEntry()
 	m.sendOnFlow()
-	m.advance(agentSettleTime + 2*tickPeriod)
+	m.advance(flow.JoinWaitMax + 2*tickPeriod)
 	m.sendOnFlow()
 	a.start()
 	a.announce()
@@ -236,7 +236,7 @@
 func TestFleetKeepsFlows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &faultMachine{simulation: newSimulation(func(f string, a ...any) { t.Fatalf(f, a...) }, 3, 6), t: t}
-		m.advance(agentSettleTime + tickPeriod)
+		m.advance(flow.JoinWaitMax + tickPeriod)
 		t.Repeat(map[string]func(*rapid.T){
 			"open":             func(*rapid.T) { m.openFlow() },
 			"open more":        func(*rapid.T) { m.openFlow() },
@@ -306,7 +306,7 @@
 	sim.syncViews()
 	sim.request(c, sim.entries[1])
 	is.True(!c.reset) // agents may still be missing
-	sim.advance(agentSettleTime + 2*tickPeriod)
+	sim.advance(flow.JoinWaitMax + 2*tickPeriod)
 	is.True(c.reset)
 }
 
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -46,9 +46,6 @@
 	// maxQueuedPackets bounds the packets of one flow that are queued during a
 	// search: a request of a few kilobytes.
 	maxQueuedPackets = 8
-	// agentSettleTime is the time without a new agent after which an entry treats the
-	// set of agents as complete: a restarting agent is back sooner.
-	agentSettleTime = 500 * time.Millisecond
 	// waitingSearchTTL is how long after the last packet of a flow its search waits
 	// for agents.
 	waitingSearchTTL = 2 * time.Second
@@ -174,7 +171,8 @@
 	paused               func() bool // reports whether the process was paused since the last tick
 	maxAge               time.Duration
 	verifiedAt           time.Time
-	agentsChanged        time.Time     // when the last new agent was added to the view
+	joins                flow.JoinWave // of agents that were added to the view
+	settledReported      bool          // since the last new agent
 	restartPeriod        time.Duration // after the start of an agent, in which its flows count as disrupted by it
 	joined               bool          // the set of agents was taken over from a peer
 	agentStartedAt       time.Time     // when the last new or restarted agent was added to the view
@@ -242,15 +240,20 @@
 // recordStartedAgents records whether the new view has agents that the current one
 // lacks, or that have restarted.
 func (r *Router) recordStartedAgents(now time.Time, v *View) {
+	added := 0
 	for _, a := range v.OwnerAddrs {
 		before, known := r.view.Owners[a]
 		if !known {
-			r.agentsChanged = now
+			added++
 		}
 		if !known || before.Incarnation != v.Owners[a].Incarnation {
 			r.agentStartedAt = now
 		}
 	}
+	if added > 0 {
+		r.joins.Joined(now, added)
+		r.settledReported = false
+	}
 }
 
 // Packet routes one packet of a caller.
@@ -348,6 +351,7 @@
 // Tick advances searches, sends registrations and queued queries, and removes
 // expired flows.
 func (r *Router) Tick(now time.Time) {
+	r.reportSettled(now)
 	for _, k := range sortedKeys(r.searching) {
 		f := r.searching[k]
 		if f.stage == stageAwaitAgents {
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -64,7 +64,16 @@
 // recently, so that the known ones are all that can own a flow. Removed agents cannot
 // own any.
 func (r *Router) agentsSettled(now time.Time) bool {
-	return r.joined && !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
+	return r.joined && r.joins.Settled(now)
+}
+
+// reportSettled reports once after each wave of new agents that their set counts as
+// complete.
+func (r *Router) reportSettled(now time.Time) {
+	if !r.settledReported && r.agentsSettled(now) {
+		r.settledReported = true
+		r.report(Decision{Kind: DecisionSettled, Tries: r.joins.Agents(), Age: r.joins.Wait()})
+	}
 }
 
 // handleMayHold records an agent that cannot determine without its upstream whether
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -206,7 +206,7 @@
 			sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
 			sim.deliverAll()
 			is.Equal(e.router.flows[k].state == stateUnowned, tt.wantReset)
-			sim.advance(agentSettleTime + tickPeriod)
+			sim.advance(flow.JoinWaitMax + tickPeriod)
 			is.Equal(e.router.flows[k].state, stateUnowned)
 		})
 	}
