--- a/internal/flow/returns.go
+++ b/internal/flow/returns.go
@@ -56,3 +56,28 @@
 func (w *JoinWave) Settled(now time.Time) bool {
 	return !w.last.IsZero() && now.Sub(w.last) >= w.Wait()
 }
+
+// defaultServiceTime is the service time assumed for an agent that reports none, in the
+// rate of resets: one request for each free slot and tick of 25 ms.
+const defaultServiceTime = 25 * time.Millisecond
+
+// FreeRate returns the number of requests a second that the free slots of the agents can
+// serve, according to their reports. An agent without a valid report counts as idle; a
+// suspect one serves nothing.
+func (p *Placement) FreeRate(now time.Time, agents []Agent) float64 {
+	rate := 0.0
+	for i := range agents {
+		if agents[i].Suspect {
+			continue
+		}
+		free, serviceTime := float64(agents[i].Slots), defaultServiceTime
+		if l := p.loads[agents[i].Addr]; l != nil && now.Sub(l.reportedAt) < ReportTTL {
+			free = max(0, free-l.report.Busy)
+			if l.report.ServiceTime > 0 {
+				serviceTime = l.report.ServiceTime
+			}
+		}
+		rate += free / serviceTime.Seconds()
+	}
+	return rate
+}
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -49,7 +49,8 @@
 	DecisionSearch   = "search"    // all agents that may own the flow are queried
 	DecisionFound    = "found"     // the owner was found
 	DecisionNotFound = "not-found" // no agent confirmed that it owns the flow
-	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset
+	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset in its turn
+	DecisionReset    = "reset"     // a flow without an owner is reset
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
 	DecisionSettled  = "settled"   // the set of agents counts as complete; Tries is the number of new ones, Age the time without another
 )
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -56,6 +56,7 @@
 	e.router.SetJoined(false)
 	e.router.SetDisrupted(s.Disrupted())
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
+	e.gauge("resets_waiting", "Flows without an owner that wait for their reset.", func() float64 { return float64(e.router.resets.waiting()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
 		return float64(e.fleet.Config().RoutesVersion)
--- a/internal/passthrough/reset_pacer_test.go
+++ b/internal/passthrough/reset_pacer_test.go
@@ -85,9 +85,9 @@
 
 // lastReset returns the index of the key that is reset last.
 func (e *simEntry) lastReset(keys []flow.Key) int {
-	pending := e.router.resets.pending
+	pending := e.router.resets.late
 	for i, k := range keys {
-		if k == pending[len(pending)-1] {
+		if k == pending[len(pending)-1].key {
 			return i
 		}
 	}
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -372,7 +372,7 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
 		f.stage = stageAwaitAgents
 	}
-	r.resetUnowned()
+	r.resetUnowned(now)
 	r.placeHeldOpenings(now)
 	r.flushRegistrations()
 	r.flushQueries(now)
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -135,7 +135,7 @@
 	})
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
-		r.concludeUnowned(k, f)
+		r.concludeUnowned(now, k, f)
 	case len(unanswered) > 0 && now.Sub(f.searchedAt) >= searchInterval:
 		f.searchedAt = now
 		r.queryAgain(now, k, f, unanswered, unanswered)
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -47,17 +47,17 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		return
 	}
-	r.concludeUnowned(k, f)
+	r.concludeUnowned(now, k, f)
 }
 
 // concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
 // its turn.
-func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
+func (r *Router) concludeUnowned(now time.Time, k flow.Key, f *routedFlow) {
 	delete(r.searching, k)
 	f.searchPacket, f.queued = nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state, f.resetPending = stateUnowned, true
-	r.resets.add(k)
+	r.addReset(now, k, f)
 }
 
 // agentsSettled reports whether the agents of a peer were taken over and none was added
