--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -172,6 +172,11 @@
 	Announce netip.AddrPort `json:"announce" validate:"required,hostport4"`
 	// AnnounceMillis is the time between two announcements.
 	AnnounceMillis int `json:"announceMillis" validate:"min=1,max=60000"`
+	// CheckUpstream lets the agent conclude that no upstream is running when a TCP
+	// connection to the address in Upstream is refused. It must be set only if upstreams
+	// accept TCP connections there: the flows of others would be reset after a restart of
+	// all processes.
+	CheckUpstream bool `json:"checkUpstream,omitempty"`
 }
 
 // ZoneID returns the ID of a zone in membership records: its position in ZoneNames,
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -32,6 +32,7 @@
 	base
 	settings config.PassthroughAgent
 	outbound PacketConn
+	checker  *upstreamChecker // nil unless the settings ask for checks
 
 	// Guarded by mu.
 	tracker   *Tracker
@@ -57,6 +58,9 @@
 
 		ObserveAnswer: func(d time.Duration) { a.counters.answers.Observe(d.Seconds()) },
 	})
+	if s.CheckUpstream {
+		a.checker = a.newUpstreamChecker(d.ConnectUpstream)
+	}
 	a.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.tracker.Flows()) })
 	a.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.tracker.Busy()) })
 	a.gauge("failing_ratio", "Share of the upstream's latest requests that failed.", a.tracker.FailureRate)
@@ -122,6 +126,9 @@
 		tick:  a.tick,
 		drain: a.drain,
 	}
+	if a.checker != nil {
+		r.loops = append(r.loops, a.checker.run)
+	}
 	return r.run(ctx)
 }
 
@@ -230,9 +237,19 @@
 	defer a.mu.Unlock()
 	a.tracker.SetStale(stale)
 	a.tracker.SetRestarted(a.fleet.Restarted())
+	if a.codec.Metadata(b).Purpose == flow.PurposeQuery {
+		a.queried()
+	}
 	a.tracker.Packet(time.Now(), flow.EndpointOf(from), &s, b)
 }
 
+// queried checks the upstream after a query, if the settings ask for checks.
+func (a *Agent) queried() {
+	if a.checker != nil {
+		a.checker.queried()
+	}
+}
+
 // handleMessage handles a message from an entry. Entries send only queries.
 func (a *Agent) handleMessage(from netip.AddrPort, m *Message) {
 	if m.Kind != KindQuery {
@@ -242,6 +259,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.tracker.SetRestarted(a.fleet.Restarted())
+	a.queried()
 	a.tracker.Query(time.Now(), flow.EndpointOf(from), m.Queries)
 }
 
@@ -256,8 +274,12 @@
 }
 
 func (a *Agent) tick(now time.Time) {
-	a.checkPause()
+	paused := a.checkPause()
 	a.mu.Lock()
+	if paused {
+		// An upstream may have started meanwhile. now may be from before the pause.
+		a.tracker.SetUpstreamRefused(time.Now(), false)
+	}
 	a.tracker.Tick(now)
 	a.mu.Unlock()
 	a.publishUpstream(now)
--- a/internal/passthrough/base.go
+++ b/internal/passthrough/base.go
@@ -55,13 +55,16 @@
 	})
 }
 
-// checkPause makes the fleet node renew what it believes after a pause.
-func (s *base) checkPause() {
-	if gap := s.pause.Beat(); gap > 0 {
+// checkPause reports whether the process was paused, and makes the fleet node renew what
+// it believes then.
+func (s *base) checkPause() (paused bool) {
+	gap := s.pause.Beat()
+	if gap > 0 {
 		s.counters.pauses.Inc()
 		s.deps.Log.Warn("resumed after a pause", "paused_ms", gap.Milliseconds())
 		s.fleet.Resume()
 	}
+	return gap > 0
 }
 
 func (s *base) countReadError() { s.counters.countDropped(dropRead) }
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -59,14 +59,15 @@
 const (
 	DecisionAdmit           = "admit"
 	DecisionReject          = "reject"
-	DecisionProbe           = "probe"   // a packet is sent to the upstream to find out whether it holds the flow
-	DecisionLearn           = "learn"   // the upstream sent a packet of a flow that was unknown
-	DecisionNotHeld         = "gone"    // the upstream does not hold the flow
-	DecisionUpstreamEnded   = "ended"   // the upstream that held the flow has ended: reset
-	DecisionReturned        = "bounced" // the upstream returned an opening packet
-	DecisionUpstreamTimeout = "silent"  // the upstream timed out: its flows are reset
-	DecisionFailing         = "failing" // the upstream's failure rate is high, so that others are preferred; Tries is the rate in percent
-	DecisionRecovered       = "works"   // the failure rate is low again; Tries is the rate in percent
+	DecisionProbe           = "probe"       // a packet is sent to the upstream to find out whether it holds the flow
+	DecisionLearn           = "learn"       // the upstream sent a packet of a flow that was unknown
+	DecisionNotHeld         = "gone"        // the upstream does not hold the flow
+	DecisionUpstreamEnded   = "ended"       // the upstream that held the flow has ended: reset
+	DecisionReturned        = "bounced"     // the upstream returned an opening packet
+	DecisionUpstreamTimeout = "silent"      // the upstream timed out: its flows are reset
+	DecisionUpstreamRefused = "no-listener" // the upstream's instance refused a connection: no upstream is running
+	DecisionFailing         = "failing"     // the upstream's failure rate is high, so that others are preferred; Tries is the rate in percent
+	DecisionRecovered       = "works"       // the failure rate is low again; Tries is the rate in percent
 )
 
 // Observer records a decision. It must not block.
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -21,6 +21,8 @@
 	placement prometheus.Histogram
 	answers   prometheus.Histogram
 	pauses    prometheus.Counter
+
+	upstreamChecks *prometheus.CounterVec
 }
 
 // latencyBuckets range from the latency of a hop inside a zone to the longest
@@ -38,9 +40,10 @@
 			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "pauses_total",
 			Help: "Pauses of a second or more in which the process did not run.",
 		}),
+		upstreamChecks: telemetry.CounterVec(subsystem, "upstream_checks_total", "Checks whether an upstream is running, by result.", "result"),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.upstreamChecks)
 	}
 	return c
 }
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -74,6 +74,9 @@
 	Fleet Fleet
 	// Listen opens the UDP sockets; nil means sockets of the operating system.
 	Listen func(netip.AddrPort) (PacketConn, error)
+	// ConnectUpstream opens and closes a TCP connection to an upstream; nil means by the
+	// operating system.
+	ConnectUpstream func(context.Context, netip.AddrPort) error
 	// Membership replaces the sockets and calls in the fleet node's options; nil
 	// means those of the operating system.
 	Membership func(*fleet.Options)
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -161,6 +161,7 @@
 	pendingRegistrations map[flow.Endpoint][]Registration // by replica
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
 	unanswered           unansweredQueries
+	withoutUpstream      withoutUpstream
 	resets               resetPacer
 	startedAt            time.Time // when the first opening packet arrived
 	heldOpenings         heldOpenings
@@ -191,6 +192,7 @@
 		pendingRegistrations: map[flow.Endpoint][]Registration{},
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
 		unanswered:           unansweredQueries{},
+		withoutUpstream:      withoutUpstream{},
 		heldOpenings:         heldOpenings{},
 		out:                  out,
 		observe:              observe,
@@ -324,6 +326,7 @@
 // Message handles a message from an agent or another entry.
 func (r *Router) Message(now time.Time, from flow.Endpoint, m *Message) {
 	r.unanswered.heard(from)
+	r.recordDenial(from, m)
 	switch m.Kind {
 	case KindOwned:
 		r.handleOwned(now, from, m)
@@ -381,6 +384,7 @@
 		r.sweep(now)
 		r.placement.Retain(r.mayOwn)
 		r.unanswered.retain(r.mayOwn)
+		maps.DeleteFunc(r.withoutUpstream, func(a flow.Endpoint, _ uint64) bool { return !r.mayOwn(a) })
 	}
 }
 
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -131,7 +131,7 @@
 		return
 	}
 	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
-		return r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
+		return r.hasNoUpstream(a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
 	})
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -127,6 +127,10 @@
 	// probeTicks is the number of ticks since a probe that the upstream has neither
 	// returned nor answered, or 0 without one.
 	probeTicks int
+	refused    bool // a check of the upstream was refused: no upstream is running
+	// checksValidFrom is the time before which a check must not have started for its
+	// refusal to count.
+	checksValidFrom time.Time
 }
 
 // subscriber is an entry that receives load reports.
@@ -186,7 +190,7 @@
 	outcome := t.upstream.Announce(now, n)
 	last := t.upstream.Last()
 	if outcome != flow.AnnounceStale {
-		t.markAlive()
+		t.markAlive(now)
 	}
 	switch {
 	case outcome != flow.AnnounceChanged || before == 0:
@@ -223,7 +227,10 @@
 }
 
 // markAlive records that the upstream sent a packet or an announcement.
-func (t *Tracker) markAlive() { t.quietTicks, t.probeTicks, t.timedOut = 0, 0, false }
+func (t *Tracker) markAlive(now time.Time) {
+	t.quietTicks, t.probeTicks, t.timedOut = 0, 0, false
+	t.refused, t.checksValidFrom = false, now
+}
 
 // LastAnnounced returns when the last announcement was received.
 func (t *Tracker) LastAnnounced() time.Time { return t.upstream.LastAnnounced() }
@@ -353,7 +360,7 @@
 // FromUpstream handles a packet that the upstream sent. anyEntry is notified of
 // flows that were unknown.
 func (t *Tracker) FromUpstream(now time.Time, s *flow.Segment, packet []byte, anyEntry flow.Endpoint) {
-	t.markAlive()
+	t.markAlive(now)
 	if s.Returned {
 		t.handleReturned(now, s, packet)
 		return
--- a/internal/passthrough/tracker_search.go
+++ b/internal/passthrough/tracker_search.go
@@ -28,15 +28,15 @@
 		return HoldingOwned
 	case f == nil && (t.allFlowsKnown(now) || t.returnedRecently(now, k)):
 		return HoldingNone
-	case f != nil && f.state == trackedProbing && t.timedOut:
-		return HoldingNone // its upstream did not return the probe
+	case f != nil && f.state == trackedProbing && (t.timedOut || t.refused):
+		return HoldingNone // its upstream did not return the probe, or is not running
 	}
 	return HoldingUnknown
 }
 
 // Query sends an entry the answers to which of the flows this agent owns.
 func (t *Tracker) Query(now time.Time, from flow.Endpoint, keys []flow.Key) {
-	m := &Message{Kind: KindQueryReply, Load: t.currentLoad()}
+	m := &Message{Kind: KindQueryReply, Reason: t.denialReason(), Load: t.currentLoad()}
 	for _, k := range keys {
 		m.Answers = append(m.Answers, Answer{Key: k, Holding: t.holding(now, k, from)})
 	}
@@ -46,7 +46,7 @@
 // allFlowsKnown reports whether all flows of the upstream are known, because they
 // have passed through this process or the upstream has ended.
 func (t *Tracker) allFlowsKnown(now time.Time) bool {
-	return now.Sub(t.Started) >= t.MaxAge || t.upstream.SeenFromStart(!t.restarted) || t.upstream.Last().Ended || t.timedOut
+	return now.Sub(t.Started) >= t.MaxAge || t.upstream.SeenFromStart(!t.restarted) || t.upstream.Last().Ended || t.timedOut || t.refused
 }
 
 func (t *Tracker) returnedRecently(now time.Time, k flow.Key) bool {
@@ -74,7 +74,16 @@
 }
 
 func (t *Tracker) sendNotHeld(k flow.Key, to flow.Endpoint, packet []byte) {
-	t.Out.SendMessage(to, &Message{Kind: KindNotHeld, Key: k, Reason: flow.RefusalNotHeld, Load: t.currentLoad(), Packet: packet})
+	t.Out.SendMessage(to, &Message{Kind: KindNotHeld, Key: k, Reason: t.denialReason(), Load: t.currentLoad(), Packet: packet})
+}
+
+// denialReason returns why this agent denies flows: RefusalNoUpstream says that it owns
+// none at all.
+func (t *Tracker) denialReason() flow.Refusal {
+	if t.refused {
+		return flow.RefusalNoUpstream
+	}
+	return flow.RefusalNotHeld
 }
 
 // handleReturned handles a caller's packet that the upstream sent back.
--- a/internal/passthrough/unresponsive.go
+++ b/internal/passthrough/unresponsive.go
@@ -23,6 +23,10 @@
 	queries int
 }
 
+// withoutUpstream are the agents whose last answer denied flows because no upstream is
+// running there, with their incarnations.
+type withoutUpstream map[flow.Endpoint]uint64
+
 // unansweredQueries tracks the agents that do not answer queries.
 type unansweredQueries map[flow.Endpoint]unanswered
 
@@ -58,3 +62,27 @@
 	return known && !o.Announced && now.Sub(o.Since) >= unresponsiveMinAge &&
 		s.queries >= unresponsiveQueries && now.Sub(s.since) >= unresponsiveAfter
 }
+
+// recordDenial records whether an agent's answer about flows denies them because no
+// upstream is running there. Other messages, such as load reports, say nothing about that.
+func (r *Router) recordDenial(from flow.Endpoint, m *Message) {
+	switch m.Kind {
+	case KindNotHeld, KindQueryReply:
+		if m.Reason == flow.RefusalNoUpstream {
+			r.withoutUpstream[from] = r.view.Owners[from].Incarnation
+			return
+		}
+		delete(r.withoutUpstream, from)
+	case KindOwned, KindMayHold:
+		delete(r.withoutUpstream, from)
+	}
+}
+
+// hasNoUpstream reports whether the agent's last answer said that no upstream is running
+// there. It owns no flow then, so that no search waits for its reply: it may have vanished
+// again.
+func (r *Router) hasNoUpstream(agent flow.Endpoint) bool {
+	incarnation, known := r.withoutUpstream[agent]
+	o := r.view.Owners[agent]
+	return known && !o.Announced && o.Incarnation == incarnation
+}
