--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -49,8 +49,10 @@
 	DecisionSearch   = "search"    // all agents that may own the flow are queried
 	DecisionFound    = "found"     // the owner was found
 	DecisionNotFound = "not-found" // no agent confirmed that it owns the flow
-	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset
+	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset in its turn
+	DecisionReset    = "reset"     // a flow without an owner is reset
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
+	DecisionSettled  = "settled"   // the set of agents counts as complete; Tries is the number of new ones, Age the time without another
 )
 
 // DecisionProbeRelay is a decision of entries and agents: a packet of a search goes to
@@ -62,14 +64,15 @@
 const (
 	DecisionAdmit           = "admit"
 	DecisionReject          = "reject"
-	DecisionProbe           = "probe"   // a packet is sent to the upstream to find out whether it holds the flow
-	DecisionLearn           = "learn"   // the upstream sent a packet of a flow that was unknown
-	DecisionNotHeld         = "gone"    // the upstream does not hold the flow
-	DecisionUpstreamEnded   = "ended"   // the upstream that held the flow has ended: reset
-	DecisionReturned        = "bounced" // the upstream returned an opening packet
-	DecisionUpstreamTimeout = "silent"  // the upstream timed out: its flows are reset
-	DecisionFailing         = "failing" // the upstream's failure rate is high, so that others are preferred; Tries is the rate in percent
-	DecisionRecovered       = "works"   // the failure rate is low again; Tries is the rate in percent
+	DecisionProbe           = "probe"       // a packet is sent to the upstream to find out whether it holds the flow
+	DecisionLearn           = "learn"       // the upstream sent a packet of a flow that was unknown
+	DecisionNotHeld         = "gone"        // the upstream does not hold the flow
+	DecisionUpstreamEnded   = "ended"       // the upstream that held the flow has ended: reset
+	DecisionReturned        = "bounced"     // the upstream returned an opening packet
+	DecisionUpstreamTimeout = "silent"      // the upstream timed out: its flows are reset
+	DecisionUpstreamRefused = "no-listener" // the upstream's instance refused a connection: no upstream is running
+	DecisionFailing         = "failing"     // the upstream's failure rate is high, so that others are preferred; Tries is the rate in percent
+	DecisionRecovered       = "works"       // the failure rate is low again; Tries is the rate in percent
 )
 
 // Observer records a decision. It must not block.
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -47,9 +47,6 @@
 	// maxQueuedPackets bounds the packets of one flow that are queued during a
 	// search: a request of a few kilobytes.
 	maxQueuedPackets = 8
-	// agentSettleTime is the time without a new agent after which an entry treats the
-	// set of agents as complete: a restarting agent is back sooner.
-	agentSettleTime = 500 * time.Millisecond
 	// waitingSearchTTL is how long after the last packet of a flow its search waits
 	// for agents.
 	waitingSearchTTL = 2 * time.Second
@@ -173,6 +170,7 @@
 	pendingRegistrations map[flow.Endpoint][]Registration // by replica
 	pendingQueries       map[flow.Endpoint][]flow.Key     // by agent
 	unanswered           unansweredQueries
+	withoutUpstream      withoutUpstream
 	resets               resetPacer
 	startedAt            time.Time // when the first opening packet arrived
 	heldOpenings         heldOpenings
@@ -183,7 +181,8 @@
 	paused               func() bool // reports whether the process was paused since the last tick
 	maxAge               time.Duration
 	verifiedAt           time.Time
-	agentsChanged        time.Time     // when the last new agent was added to the view
+	joins                flow.JoinWave // of agents that were added to the view
+	settledReported      bool          // since the last new agent
 	restartPeriod        time.Duration // after the start of an agent, in which its flows count as disrupted by it
 	joined               bool          // the set of agents was taken over from a peer
 	agentStartedAt       time.Time     // when the last new or restarted agent was added to the view
@@ -202,6 +201,7 @@
 		pendingRegistrations: map[flow.Endpoint][]Registration{},
 		pendingQueries:       map[flow.Endpoint][]flow.Key{},
 		unanswered:           unansweredQueries{},
+		withoutUpstream:      withoutUpstream{},
 		heldOpenings:         heldOpenings{},
 		out:                  out,
 		observe:              observe,
@@ -251,15 +251,20 @@
 // recordStartedAgents records whether the new view has agents that the current one
 // lacks, or that have restarted.
 func (r *Router) recordStartedAgents(now time.Time, v *View) {
+	added := 0
 	for _, a := range v.OwnerAddrs {
 		before, known := r.view.Owners[a]
 		if !known {
-			r.agentsChanged = now
+			added++
 		}
 		if !known || before.Incarnation != v.Owners[a].Incarnation {
 			r.agentStartedAt = now
 		}
 	}
+	if added > 0 {
+		r.joins.Joined(now, added)
+		r.settledReported = false
+	}
 }
 
 // Packet routes one packet of a caller.
@@ -330,6 +335,7 @@
 // Message handles a message from an agent or another entry.
 func (r *Router) Message(now time.Time, from flow.Endpoint, m *Message) {
 	r.unanswered.heard(from)
+	r.recordDenial(from, m)
 	switch m.Kind {
 	case KindOwned:
 		r.handleOwned(now, from, m)
@@ -357,6 +363,7 @@
 // Tick advances searches, sends registrations and queued queries, and removes
 // expired flows.
 func (r *Router) Tick(now time.Time) {
+	r.reportSettled(now)
 	for _, k := range sortedKeys(r.searching) {
 		f := r.searching[k]
 		if f.stage == stageAwaitAgents {
@@ -377,7 +384,7 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
 		f.stage = stageAwaitAgents
 	}
-	r.resetUnowned()
+	r.resetUnowned(now)
 	r.placeHeldOpenings(now)
 	r.flushRegistrations()
 	r.flushQueries(now)
@@ -386,6 +393,7 @@
 		r.sweep(now)
 		r.placement.Retain(r.mayOwn)
 		r.unanswered.retain(r.mayOwn)
+		maps.DeleteFunc(r.withoutUpstream, func(a flow.Endpoint, _ uint64) bool { return !r.mayOwn(a) })
 	}
 }
 
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -47,24 +47,33 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
 		return
 	}
-	r.concludeUnowned(k, f)
+	r.concludeUnowned(now, k, f)
 }
 
 // concludeUnowned ends the search for a flow that all agents denied. The flow is reset in
 // its turn.
-func (r *Router) concludeUnowned(k flow.Key, f *routedFlow) {
+func (r *Router) concludeUnowned(now time.Time, k flow.Key, f *routedFlow) {
 	delete(r.searching, k)
 	f.searchPacket, f.queued, f.relayed = nil, nil, nil
 	r.report(Decision{Kind: DecisionNoOwner, Key: k, Tries: f.queried})
 	f.state, f.resetPending = stateUnowned, true
-	r.resets.add(k)
+	r.addReset(now, k, f)
 }
 
 // agentsSettled reports whether the agents of a peer were taken over and none was added
 // recently, so that the known ones are all that can own a flow. Removed agents cannot
 // own any.
 func (r *Router) agentsSettled(now time.Time) bool {
-	return r.joined && !r.agentsChanged.IsZero() && now.Sub(r.agentsChanged) >= agentSettleTime
+	return r.joined && r.joins.Settled(now)
+}
+
+// reportSettled reports once after each wave of new agents that their set counts as
+// complete.
+func (r *Router) reportSettled(now time.Time) {
+	if !r.settledReported && r.agentsSettled(now) {
+		r.settledReported = true
+		r.report(Decision{Kind: DecisionSettled, Tries: r.joins.Agents(), Age: r.joins.Wait()})
+	}
 }
 
 // handleMayHold records an agent that cannot determine without its upstream whether
