--- a/internal/flow/admission.go
+++ b/internal/flow/admission.go
@@ -65,10 +65,32 @@
 	Flows          int
 	Limits         Limits
 	AllowBusy      bool // no other agent accepts the flow: a busy upstream is no reason to refuse it
+	// Room is set for an upstream with few slots. Then it decides with the class whether
+	// the upstream is busy, instead of Busy, Slots and AllowBusy.
+	Room  *Room
+	Class Class
+}
+
+// busy reports whether the upstream is too busy for the flow.
+func (r *AdmissionRequest) busy() bool {
+	if r.Room != nil {
+		return !r.Room.Allows(r.Class, false)
+	}
+	return !r.AllowBusy && r.Busy >= r.Slots+maxWaitingRequests
 }
 
 // Admit returns RefusalNone and counts the flow, or returns why it is refused.
 func (a *Admission) Admit(now time.Time, r AdmissionRequest) Refusal {
+	if reason := a.Check(now, r); reason != RefusalNone {
+		return reason
+	}
+	a.expire(now)
+	a.openings = append(a.openings, now)
+	return RefusalNone
+}
+
+// Check returns what Admit would return, and counts nothing.
+func (a *Admission) Check(now time.Time, r AdmissionRequest) Refusal {
 	switch {
 	case r.State == UpstreamAbsent:
 		return RefusalNoUpstream
@@ -82,11 +104,9 @@
 		return RefusalConnections
 	case r.State == UpstreamCold && !a.coldStartAllows(now, r.Limits.ColdPerSecond):
 		return RefusalCold
-	case !r.AllowBusy && r.Busy >= r.Slots+maxWaitingRequests:
+	case r.busy():
 		return RefusalBusy
 	}
-	a.expire(now)
-	a.openings = append(a.openings, now)
 	return RefusalNone
 }
 
--- a/internal/flow/segment.go
+++ b/internal/flow/segment.go
@@ -92,7 +92,7 @@
 // Purposes of packets sent to agents.
 const (
 	PurposeOpen     Purpose = 1 // opens a new flow
-	PurposeOpenBusy Purpose = 2 // opens a new flow that no other agent accepts: being busy is no reason to refuse
+	PurposeOpenBusy Purpose = 2 // opens a new flow that no other agent accepts: it waits, or being busy is no reason to refuse
 	PurposeOwner    Purpose = 3 // belongs to a flow that the agent owns as far as the entry knows
 	PurposeSearch   Purpose = 4 // belongs to a flow whose owner is unknown
 	PurposeQuery    Purpose = 5 // header without data: queries whether the agent owns the flow
