--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -53,6 +53,7 @@
 		UpstreamTimeout: missedAnnouncements * time.Duration(s.AnnounceMillis) * time.Millisecond,
 		Codec:           d.Codec,
 		Out:             a,
+		ScarceSlots:     s.ScarceSlots,
 		Observe:         a.counters.observer(d.Log, a.events),
 
 		ObserveAnswer: func(d time.Duration) { a.counters.answers.Observe(d.Seconds()) },
@@ -60,6 +61,13 @@
 	a.gauge("flows", "Flows of the upstream that are known.", func() float64 { return float64(a.tracker.Flows()) })
 	a.gauge("busy_requests", "Requests without an answer.", func() float64 { return float64(a.tracker.Busy()) })
 	a.gauge("failing_ratio", "Share of the upstream's latest requests that failed.", a.tracker.FailureRate)
+	a.gauge("service_time_seconds", "Time that a request takes once it has a slot, 0 if it is not known.", func() float64 {
+		return a.tracker.currentLoad().ServiceTime.Seconds()
+	})
+	a.gauge("waiting_openings", "Openings of flows that wait for free capacity.", func() float64 { return float64(a.tracker.waiting.Len()) })
+	a.gauge("limit_requests", "Busy requests up to which the last opening was admitted, 0 without such a limit.", func() float64 {
+		return float64(a.tracker.lastLimit)
+	})
 	a.gauge("announcement_age_seconds", "Time since the upstream's last announcement.", func() float64 {
 		return time.Since(a.tracker.LastAnnounced()).Seconds()
 	})
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -57,6 +57,7 @@
 const (
 	DecisionAdmit           = "admit"
 	DecisionReject          = "reject"
+	DecisionWait            = "wait"    // the opening waits for free capacity of the upstream; Tries is the number of waiting openings
 	DecisionProbe           = "probe"   // a packet is sent to the upstream to find out whether it holds the flow
 	DecisionLearn           = "learn"   // the upstream sent a packet of a flow that was unknown
 	DecisionNotHeld         = "gone"    // the upstream does not hold the flow
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -34,7 +34,7 @@
 	} else {
 		f.tried = f.tried[:0]
 	}
-	f.copies = s.Ack
+	f.copies, f.offeredBusy = s.Ack, false
 	r.place(now, k, f, route, packet, flow.RefusalNone)
 }
 
@@ -60,9 +60,9 @@
 	if len(f.tried) < maxTries {
 		agent, ok = r.placement.Choose(now, k, agents, f.tried)
 	}
-	if !ok && last == flow.RefusalBusy {
-		// All are busy: offer the flow to the one with the lowest score, for which
-		// being busy is then no reason to refuse.
+	if !ok && last == flow.RefusalBusy && !f.offeredBusy {
+		// All are busy: offer the flow to the one with the lowest score. It accepts the
+		// flow, or keeps it waiting for a short time where slots are scarce.
 		purpose = flow.PurposeOpenBusy
 		agent, ok = r.placement.Choose(now, k, agents, nil)
 	}
@@ -71,6 +71,7 @@
 		return
 	}
 	f.state, f.owner, f.stageStart = statePlacing, agent.Addr, now
+	f.offeredBusy = purpose == flow.PurposeOpenBusy
 	f.tried = append(f.tried, agent.Addr)
 	r.report(Decision{Kind: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
 	r.out.Forward(agent.Addr, flow.Metadata{Purpose: purpose, Service: config.ServiceHash(service), Class: flow.ClassOf(route)}, packet)
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -232,10 +232,16 @@
 }
 
 // Under any sequence of restarts, drains and replacements, an open flow stays with
-// its upstream, is not reset while that runs, and never reaches a wrong service.
+// its upstream, is not reset while that runs, and never reaches a wrong service. Where
+// slots are scarce, bursts of openings wait at the agents meanwhile (waitingMonitor).
 func TestFleetKeepsFlows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &faultMachine{simulation: newSimulation(func(f string, a ...any) { t.Fatalf(f, a...) }, 3, 6), t: t}
+		scarce := rapid.Bool().Draw(t, "scarce slots")
+		var waiting *waitingMonitor
+		if scarce {
+			waiting = m.monitorWaiting()
+		}
 		m.advance(agentSettleTime + tickPeriod)
 		t.Repeat(map[string]func(*rapid.T){
 			"open":             func(*rapid.T) { m.openFlow() },
@@ -250,6 +256,13 @@
 			"reuse address":    func(*rapid.T) { m.reuseAddress() },
 			"zone out or in":   func(*rapid.T) { m.toggleZone() },
 			"pass":             func(*rapid.T) { m.passTime("pass") },
+			"burst": func(t *rapid.T) {
+				if !scarce {
+					t.Skip("an upstream takes every flow that no agent accepts")
+				}
+				m.burst()
+			},
+			"": func(*rapid.T) { waiting.check() },
 		})
 	})
 }
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -138,6 +138,7 @@
 	owner            flow.Endpoint
 	replicas         flow.Replicas
 	tried            []flow.Endpoint
+	offeredBusy      bool      // the last offer allowed the agent to be busy, so its refusal as busy ends the attempt
 	queried          int       // number of agents that the search queried
 	queriedAll       bool      // all agents were queried, not only those of the services of the route
 	replies          []reply   // of the agents that answered
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -26,6 +26,8 @@
 	callers      []*simCaller
 	queue        []func()
 	dropDatagram func() bool // reports whether a datagram is lost
+	scarceSlots  int
+	observeAgent func(*simAgent, Decision)
 	lastStart    int64
 }
 
@@ -63,6 +65,8 @@
 	down         bool
 	full         bool
 	failRequest  func() bool // reports whether a request is reset
+	stalled      bool        // requests are not answered
+	unanswered   []flow.Key  // flows with a request that came while it was stalled
 	leavingSince time.Time   // when the agent received the announcement that it is leaving
 }
 
@@ -98,7 +102,7 @@
 }
 
 func newSimulation(fatalf func(string, ...any), entries, agents int) *simulation {
-	sim := &simulation{fatalf: fatalf, now: simStart, dropDatagram: func() bool { return false }}
+	sim := &simulation{fatalf: fatalf, now: simStart, dropDatagram: func() bool { return false }, observeAgent: func(*simAgent, Decision) {}}
 	sim.fleet = config.Empty()
 	sim.fleet.FlowIdle = 15 * time.Second
 	sim.fleet.Routes = map[netip.AddrPort]*config.Route{
@@ -144,7 +148,7 @@
 func (a *simAgent) start() {
 	a.tracker = NewTracker(TrackerOptions{
 		Service: a.service, Started: a.sim.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
-		Codec: codec, Out: a, Observe: func(Decision) {}, ObserveAnswer: func(time.Duration) {},
+		Codec: codec, Out: a, Observe: func(d Decision) { a.sim.observeAgent(a, d) }, ObserveAnswer: func(time.Duration) {}, ScarceSlots: a.sim.scarceSlots,
 	})
 	a.tracker.Configure(flow.Limits{}, a.sim.fleet.FlowIdle, a.sim.fleet.ZonesOut[a.zone])
 	a.up = true
@@ -375,6 +379,10 @@
 		a.agentReceives(makePacket(k.Route(), k.Caller(), 16|32, 0, 0, 0))
 		return
 	}
+	if u.stalled {
+		u.unanswered = append(u.unanswered, k)
+		return
+	}
 	a.agentReceives(makePacket(k.Route(), k.Caller(), 16, 0, 0, 100))
 }
 
@@ -470,10 +478,12 @@
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		sim.send(pick(), makePacket(c.key.Caller(), c.key.Route(), 1, 7, uint32(copies), 0))
 		sim.deliverAll()
+		if !c.open && !c.reset {
+			sim.advance(wait)
+		}
 		if c.open || c.reset {
-			break
+			break // it may have opened while it waited at an agent; callers then send no more copies
 		}
-		sim.advance(wait)
 	}
 	return c
 }
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"bytes"
 	"time"
 
 	"crocusnotch/internal/config"
@@ -80,6 +81,7 @@
 	lastSeen      time.Time
 	openedAt      time.Time
 	busy          bool      // a request is unanswered
+	measured      bool      // that request got a slot at once, so its answer is a sample of the service time
 	requestedAt   time.Time // when the caller sent that request
 	lastAck       uint32    // last acknowledgement number of the caller
 }
@@ -93,6 +95,9 @@
 	Codec           Codec
 	Out             TrackerOutbox
 	Observe         Observer
+	// ScarceSlots is the largest number of slots of an upstream at which new flows are
+	// admitted by their expected wait; 0 means never.
+	ScarceSlots int
 	// ObserveAnswer records the time from a request to the first packet of its answer.
 	ObserveAnswer func(time.Duration)
 }
@@ -115,6 +120,10 @@
 	stale           bool // this process was paused: configuration and announcements may have changed
 	busyRequests    int
 	averageBusy     float64
+	serviceTimes    flow.ServiceTimes
+	reservations    flow.Reservations
+	waiting         flow.WaitingOpenings
+	lastLimit       int // limit on busy requests that the last opening met, 0 if none did
 	outcomes        flow.Outcomes
 	reportedFailing bool // the last reported decision was DecisionFailing
 	subscribers     map[flow.Endpoint]*subscriber
@@ -155,10 +164,16 @@
 	if idle > 0 {
 		t.idleTimeout = idle
 	}
+	if zoneOut {
+		t.refuseAllWaiting(flow.RefusalZoneOut)
+	}
 }
 
 // Drain makes the agent refuse new flows.
-func (t *Tracker) Drain() { t.draining = true }
+func (t *Tracker) Drain() {
+	t.draining = true
+	t.refuseAllWaiting(flow.RefusalLeaving)
+}
 
 // SetStale sets whether this process was paused and has not learned since what changed
 // meanwhile. It refuses new flows until then.
@@ -188,6 +203,10 @@
 	if outcome != flow.AnnounceStale {
 		t.markAlive()
 	}
+	if last.StartMillis != before {
+		t.serviceTimes.Reset()
+	}
+	defer t.serveWaiting(now)
 	switch {
 	case outcome != flow.AnnounceChanged || before == 0:
 	case last.Ended:
@@ -250,23 +269,29 @@
 		f = nil
 	}
 	if s.Opening {
-		t.openFlow(now, k, f, from, meta, packet)
+		t.openFlow(now, k, f, from, meta, s.Ack, packet)
 		return
 	}
+	t.abandonWaiting(k)
 	if f == nil {
 		t.handleUnknownFlow(now, k, from, meta, packet)
 		return
 	}
 	f.entry, f.lastSeen, f.lastAck = from, now, s.Ack
 	f.used = f.used || f.state == trackedOpen
+	if s.Data > 0 || s.Fin || s.Reset {
+		t.reservations.Remove(k)
+	}
 	switch {
 	case s.Fin || s.Reset:
 		t.requestFailed(f) // the caller has abandoned an unanswered request
 	case s.Data > 0 && !f.busy && f.state != trackedProbing:
 		f.busy, f.requestedAt = true, now
 		t.busyRequests++
+		f.measured = t.scarce() && t.busyRequests <= t.upstream.Last().Slots
 	}
 	t.Out.ToUpstream(packet)
+	t.serveWaiting(now)
 }
 
 // upstreamReplaced reports whether the upstream that held the flow has been replaced
@@ -288,6 +313,7 @@
 
 func (t *Tracker) remove(k flow.Key, f *trackedFlow) {
 	t.requestFailed(f)
+	t.reservations.Remove(k)
 	delete(t.flows, k)
 }
 
@@ -306,8 +332,9 @@
 	}
 }
 
-// openFlow sends the opening packet of a new flow to the upstream, or refuses it.
-func (t *Tracker) openFlow(now time.Time, k flow.Key, f *trackedFlow, from flow.Endpoint, meta flow.Metadata, packet []byte) {
+// openFlow sends the opening packet of a new flow to the upstream, or refuses it. copies
+// is the number of copies that its caller sent before.
+func (t *Tracker) openFlow(now time.Time, k flow.Key, f *trackedFlow, from flow.Endpoint, meta flow.Metadata, copies uint32, packet []byte) {
 	if f != nil && f.state != trackedProbing {
 		f.entry, f.lastSeen = from, now
 		if f.state == trackedOpen {
@@ -316,25 +343,63 @@
 		t.Out.ToUpstream(packet)
 		return
 	}
+	if t.waiting.Len() > 0 && t.waiting.Update(k, from, bytes.Clone(packet)) {
+		return
+	}
+	t.serveWaiting(now)
 	reason := t.admit(now, meta)
-	if reason != flow.RefusalNone {
+	switch {
+	case reason == flow.RefusalBusy && meta.Purpose == flow.PurposeOpenBusy: // only where slots are scarce
+		t.wait(now, flow.WaitingOpening{Key: k, Meta: meta, Entry: from, Packet: bytes.Clone(packet), Copies: copies, Since: now})
+	case reason != flow.RefusalNone:
 		t.Observe(Decision{Kind: DecisionReject, Reason: reason.String(), Key: k, Agent: from})
 		t.sendRefused(k, from, reason, packet)
-		return
+	default:
+		t.waiting.CountPlace(meta.Class)
+		t.Observe(Decision{Kind: DecisionAdmit, Key: k, Agent: from})
+		t.sendOpening(now, k, from, packet)
+	}
+}
+
+// sendOpening sends the opening packet of an admitted flow to the upstream.
+func (t *Tracker) sendOpening(now time.Time, k flow.Key, from flow.Endpoint, packet []byte) {
+	if t.scarce() {
+		t.reservations.Add(now, k)
 	}
-	t.Observe(Decision{Kind: DecisionAdmit, Key: k, Agent: from})
 	t.flows[k] = &trackedFlow{state: trackedOpening, entry: from, upstreamStart: t.upstream.Last().StartMillis, openedAt: now, lastSeen: now}
 	t.Out.ToUpstream(packet)
 }
 
 func (t *Tracker) admit(now time.Time, meta flow.Metadata) flow.Refusal {
+	if reason := t.ownRefusal(); reason != flow.RefusalNone {
+		return reason
+	}
+	r := t.admissionRequest(now, meta)
+	t.lastLimit = 0
+	if t.scarce() {
+		room := t.room(now)
+		r.Room, r.Class = &room, meta.Class
+		t.lastLimit = room.Limit(meta.Class, false)
+		if t.waiting.Precedes(meta.Class) {
+			room.Busy = max(room.Busy, t.lastLimit) // the next place goes to a more urgent opening
+		}
+	}
+	return t.admission.Admit(now, r)
+}
+
+// ownRefusal returns why this process accepts no new flows, whatever the upstream.
+func (t *Tracker) ownRefusal() flow.Refusal {
 	switch {
 	case t.draining:
 		return flow.RefusalLeaving
 	case t.stale:
 		return flow.RefusalPaused
 	}
-	return t.admission.Admit(now, flow.AdmissionRequest{
+	return flow.RefusalNone
+}
+
+func (t *Tracker) admissionRequest(now time.Time, meta flow.Metadata) flow.AdmissionRequest {
+	return flow.AdmissionRequest{
 		State:          t.State(now),
 		ServiceMatches: meta.Service == t.serviceTag && t.upstream.Last().Service == t.Service,
 		ZoneOut:        t.zoneOut,
@@ -343,7 +408,7 @@
 		Flows:          len(t.flows),
 		Limits:         t.limits,
 		AllowBusy:      meta.Purpose == flow.PurposeOpenBusy,
-	})
+	}
 }
 
 func (t *Tracker) sendRefused(k flow.Key, to flow.Endpoint, reason flow.Refusal, packet []byte) {
@@ -354,11 +419,13 @@
 // flows that were unknown.
 func (t *Tracker) FromUpstream(now time.Time, s *flow.Segment, packet []byte, anyEntry flow.Endpoint) {
 	t.markAlive()
+	defer t.serveWaiting(now)
 	if s.Returned {
 		t.handleReturned(now, s, packet)
 		return
 	}
 	k := s.KeyToCaller()
+	t.abandonWaiting(k)
 	f := t.flows[k]
 	switch {
 	case f == nil:
@@ -374,6 +441,9 @@
 	f.used = f.used || !s.Accepted
 	if s.Data > 0 && f.busy {
 		t.ObserveAnswer(now.Sub(f.requestedAt))
+		if f.measured {
+			t.serviceTimes.Add(now.Sub(f.requestedAt))
+		}
 		t.outcomes.Answered()
 		t.requestDone(f)
 	}
--- a/internal/passthrough/tracker_tick.go
+++ b/internal/passthrough/tracker_tick.go
@@ -10,7 +10,11 @@
 )
 
 func (t *Tracker) currentLoad() flow.Load {
-	return flow.Load{Busy: t.averageBusy, FailureRate: t.outcomes.FailureRate()}
+	l := flow.Load{Busy: t.averageBusy, FailureRate: t.outcomes.FailureRate()}
+	if t.scarce() {
+		l.ServiceTime = t.serviceTimes.Measured()
+	}
+	return l
 }
 
 func (t *Tracker) subscribe(now time.Time, entry flow.Endpoint) {
@@ -41,6 +45,7 @@
 	t.outcomes.Tick()
 	t.checkFailureRate()
 	t.checkUpstreamTimeout(now)
+	t.serveWaiting(now)
 	for _, entry := range slices.SortedFunc(maps.Keys(t.subscribers), flow.Endpoint.Compare) {
 		s := t.subscribers[entry]
 		if now.Sub(s.lastSeen) > subscriberTTL {
