--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -37,6 +37,7 @@
 	Zone    string
 	Slots   int
 	Suspect bool // suspected by membership: its probes are unanswered
+	Cold    bool // its upstream is in cold start
 }
 
 // Load is the load of an upstream as its agent reports it.
@@ -84,6 +85,17 @@
 	p.load(agent).avoidUntil = now.Add(avoidDuration)
 }
 
+// FreshReports returns the number of the agents whose report has not expired.
+func (p *Placement) FreshReports(now time.Time, agents []Agent) int {
+	n := 0
+	for i := range agents {
+		if l := p.loads[agents[i].Addr]; l != nil && now.Sub(l.reportedAt) < ReportTTL {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Placement) load(agent Endpoint) *agentLoad {
 	a := p.loads[agent]
 	if a == nil {
--- a/internal/flow/segment.go
+++ b/internal/flow/segment.go
@@ -96,6 +96,10 @@
 	PurposeOwner    Purpose = 3 // belongs to a flow that the agent owns as far as the entry knows
 	PurposeSearch   Purpose = 4 // belongs to a flow whose owner is unknown
 	PurposeQuery    Purpose = 5 // header without data: queries whether the agent owns the flow
+	// PurposeOwnerChecked is like PurposeOwner, but the agent returns the packet if it
+	// acknowledges the acceptance of another upstream. Agents of earlier versions treat
+	// it as PurposeOwner.
+	PurposeOwnerChecked Purpose = 6
 )
 
 // Metadata is the information that an entry attaches to a packet for an agent.
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -233,14 +233,18 @@
 	a.tracker.Packet(time.Now(), flow.EndpointOf(from), &s, b)
 }
 
-// handleMessage handles a message from an entry. Entries send only queries.
+// handleMessage handles a message from an entry.
 func (a *Agent) handleMessage(from netip.AddrPort, m *Message) {
-	if m.Kind != KindQuery {
+	if m.Kind != KindQuery && m.Kind != KindAbandon {
 		a.counters.countDropped(dropMalformed)
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if m.Kind == KindAbandon {
+		a.tracker.Abandon(m.Key)
+		return
+	}
 	a.tracker.SetRestarted(a.fleet.Restarted())
 	a.tracker.Query(time.Now(), flow.EndpointOf(from), m.Queries)
 }
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -51,6 +51,7 @@
 	DecisionNotFound = "not-found" // no agent confirmed that it owns the flow
 	DecisionNoOwner  = "lost"      // every queried agent denied that it owns the flow: reset
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
+	DecisionHedge    = "hedge"     // an opening is offered to a second agent, or the outcome of that
 )
 
 // Decisions of agents.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -55,6 +55,9 @@
 	e.router.SetPaused(e.pause.Paused)
 	e.router.SetJoined(false)
 	e.router.SetDisrupted(s.Disrupted())
+	if s.Hedge != nil {
+		e.router.SetHedging(s.Hedge.Share)
+	}
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
@@ -180,6 +183,7 @@
 		e.router.SetVerifiedAt(verifiedAt)
 	}
 	e.router.SetJoined(e.fleet.Joined() || now.Sub(e.started) >= joinPeriod)
+	e.router.SetDraining(e.stop.Stopping())
 	e.router.Tick(now)
 	if !e.ready.Load() {
 		e.checkReady(now, verifiedAt)
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -21,6 +21,7 @@
 	placement prometheus.Histogram
 	answers   prometheus.Histogram
 	pauses    prometheus.Counter
+	hedges    *prometheus.CounterVec
 }
 
 // latencyBuckets range from the latency of a hop inside a zone to the longest
@@ -32,6 +33,7 @@
 		registry:  r,
 		decisions: telemetry.CounterVec(subsystem, "decisions_total", "Decisions about flows by kind and reason.", "decision", "reason"),
 		dropped:   telemetry.CounterVec(subsystem, "dropped_total", "Datagrams dropped by reason.", "reason"),
+		hedges:    telemetry.CounterVec(subsystem, "hedges_total", "Openings that waited for the hedge delay, and what became of their hedges.", "outcome"),
 		placement: histogram("placement_seconds", "Time from a flow's first packet here until its owner is known."),
 		answers:   histogram("answer_seconds", "Time from a request to the first packet of its answer."),
 		pauses: prometheus.NewCounter(prometheus.CounterOpts{
@@ -40,7 +42,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.hedges)
 	}
 	return c
 }
@@ -74,6 +76,12 @@
 // the ring of recent events.
 func (c *counters) observer(log *slog.Logger, events func() *explain.Ring) Observer {
 	return func(d Decision) {
+		if d.Kind == DecisionHedge {
+			c.hedges.WithLabelValues(d.Reason).Inc()
+			if d.Reason != hedgeSent {
+				return // one line for each hedge
+			}
+		}
 		if ring := events(); ring != nil {
 			ring.Add(time.Now(), explain.SubjectFlow, d.Key.String(), d.Kind, strings.TrimSpace(d.Reason+" "+d.Agent.String()))
 		}
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -31,6 +31,11 @@
 		// The agent that received the last copy has not answered it.
 		r.placement.Avoid(now, f.owner)
 		f.tried = append(f.tried[:0], f.owner)
+		for _, o := range f.offers {
+			if o.hedge && o.agent != f.owner {
+				f.tried = append(f.tried, o.agent)
+			}
+		}
 	} else {
 		f.tried = f.tried[:0]
 	}
@@ -73,6 +78,7 @@
 	f.state, f.owner, f.stageStart = statePlacing, agent.Addr, now
 	f.tried = append(f.tried, agent.Addr)
 	r.report(Decision{Kind: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
+	r.recordOffer(now, k, f, route, agent.Addr, packet)
 	r.out.Forward(agent.Addr, flow.Metadata{Purpose: purpose, Service: config.ServiceHash(service), Class: flow.ClassOf(route)}, packet)
 }
 
@@ -85,7 +91,7 @@
 	}
 	r.report(Decision{Kind: DecisionNoAgent, Reason: reason, Key: k, Tries: len(f.tried)})
 	f.state, f.owner, f.stageStart = stateUnknown, flow.Endpoint{}, time.Time{}
-	if f.copies < lastCopyNumber {
+	if f.copies < lastCopyNumber || r.mayBeAccepted(f) {
 		return
 	}
 	delete(r.flows, k)
@@ -98,6 +104,9 @@
 		r.placement.Report(now, from, m.Load)
 	}
 	f := r.ensureFlow(now, m.Key)
+	if !r.acceptOwner(now, from, m, f) {
+		return
+	}
 	if f.state == stateOwned && f.owner == m.Owner {
 		return
 	}
@@ -108,7 +117,7 @@
 	r.report(Decision{Kind: kind, Key: m.Key, Agent: m.Owner, Tries: len(f.tried), Age: now.Sub(f.openedAt)})
 	delete(r.searching, m.Key)
 	if f.state == stateSearching && len(f.searchPacket) > 0 && !f.sentPacketTo(m.Owner) {
-		r.out.Forward(m.Owner, r.metadata(m.Key, flow.PurposeOwner, m.Owner), f.searchPacket)
+		r.out.Forward(m.Owner, r.metadata(m.Key, r.ownerPurpose(), m.Owner), f.searchPacket)
 	}
 	f.state, f.owner, f.searchPacket, f.tried, f.replies = stateOwned, m.Owner, nil, nil, nil
 	f.replicas = flow.Replicas{}
@@ -128,7 +137,7 @@
 // flushQueue forwards the packets that were received during a search.
 func (r *Router) flushQueue(k flow.Key, f *routedFlow) {
 	for _, packet := range f.queued {
-		r.out.Forward(f.owner, r.metadata(k, flow.PurposeOwner, f.owner), packet)
+		r.out.Forward(f.owner, r.metadata(k, r.ownerPurpose(), f.owner), packet)
 	}
 	f.queued = nil
 }
@@ -136,7 +145,7 @@
 func (r *Router) handleRefused(now time.Time, from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
 	r.report(Decision{Kind: DecisionRefused, Reason: m.Reason.String(), Key: m.Key, Agent: from})
-	if f == nil || f.state != statePlacing || f.owner != from {
+	if f == nil || r.offerRefused(now, m.Key, f, from, m.Reason) || f.state != statePlacing || f.owner != from {
 		return
 	}
 	route := r.view.Fleet.Routes[m.Key.Route().AddrPort()]
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -80,7 +80,7 @@
 func (m *faultMachine) allOwnersUp(e *simEntry) bool {
 	up := map[flow.Endpoint]bool{}
 	for _, a := range m.agents {
-		if a.up && !a.removed {
+		if a.up && !a.removed && !a.stalled {
 			up[a.addr] = true
 		}
 	}
@@ -237,23 +237,27 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &faultMachine{simulation: newSimulation(func(f string, a ...any) { t.Fatalf(f, a...) }, 3, 6), t: t}
 		m.advance(agentSettleTime + tickPeriod)
-		t.Repeat(map[string]func(*rapid.T){
-			"open":             func(*rapid.T) { m.openFlow() },
-			"open more":        func(*rapid.T) { m.openFlow() },
-			"send":             func(*rapid.T) { m.sendOnFlow() },
-			"send more":        func(*rapid.T) { m.sendOnFlow() },
-			"restart entry":    func(*rapid.T) { m.restartEntry() },
-			"restart agent":    func(*rapid.T) { m.restartAgent() },
-			"restart both":     func(*rapid.T) { m.restartEntryWhileAgentIsDown() },
-			"drain upstream":   func(*rapid.T) { m.drainUpstream() },
-			"replace upstream": func(*rapid.T) { m.replaceUpstream() },
-			"reuse address":    func(*rapid.T) { m.reuseAddress() },
-			"zone out or in":   func(*rapid.T) { m.toggleZone() },
-			"pass":             func(*rapid.T) { m.passTime("pass") },
-		})
+		t.Repeat(m.actions())
 	})
 }
 
+func (m *faultMachine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"open":             func(*rapid.T) { m.openFlow() },
+		"open more":        func(*rapid.T) { m.openFlow() },
+		"send":             func(*rapid.T) { m.sendOnFlow() },
+		"send more":        func(*rapid.T) { m.sendOnFlow() },
+		"restart entry":    func(*rapid.T) { m.restartEntry() },
+		"restart agent":    func(*rapid.T) { m.restartAgent() },
+		"restart both":     func(*rapid.T) { m.restartEntryWhileAgentIsDown() },
+		"drain upstream":   func(*rapid.T) { m.drainUpstream() },
+		"replace upstream": func(*rapid.T) { m.replaceUpstream() },
+		"reuse address":    func(*rapid.T) { m.reuseAddress() },
+		"zone out or in":   func(*rapid.T) { m.toggleZone() },
+		"pass":             func(*rapid.T) { m.passTime("pass") },
+	}
+}
+
 // A flow survives the simultaneous loss of all entry and agent processes: its
 // upstream still holds it, and a search finds it there.
 func TestFlowIsFoundAfterAllProcessesRestarted(t *testing.T) {
--- a/internal/passthrough/replicas.go
+++ b/internal/passthrough/replicas.go
@@ -21,8 +21,12 @@
 }
 
 // register queues the owner of a flow for those of its replicas that do not have
-// it yet.
+// it yet. A flow that several agents may have accepted is registered once its caller has
+// chosen one.
 func (r *Router) register(k flow.Key, f *routedFlow) {
+	if f.undecided() {
+		return
+	}
 	replicas := flow.ReplicasOf(k, r.view.Entries)
 	for _, replica := range replicas {
 		if !replica.IsZero() && replica != r.view.Self && !f.replicas.Has(replica) {
@@ -36,13 +40,13 @@
 // the packet that came with it.
 func (r *Router) handleLookup(from flow.Endpoint, m *Message) {
 	f := r.flows[m.Key]
-	if f == nil || f.state != stateOwned {
+	if f == nil || f.state != stateOwned || f.undecided() {
 		r.out.SendMessage(from, &Message{Kind: KindUnknown, Key: m.Key})
 		return
 	}
 	r.out.SendMessage(from, &Message{Kind: KindOwned, Key: m.Key, Owner: f.owner})
 	if len(m.Packet) > 0 {
-		r.out.Forward(f.owner, r.metadata(m.Key, flow.PurposeOwner, f.owner), m.Packet)
+		r.out.Forward(f.owner, r.metadata(m.Key, r.ownerPurpose(), f.owner), m.Packet)
 	}
 }
 
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -128,6 +128,7 @@
 	replyNotProbeable                   // the same, but the address does not have its service, so it must not receive the packet
 	replyProbeTimeout                   // its upstream received the packet and did not return it in time
 	replyDenied                         // it does not own the flow
+	replyHalfOpen                       // its upstream accepted the flow, and the caller's packet acknowledges another acceptance
 )
 
 // routedFlow is an entry's state of one flow.
@@ -149,6 +150,8 @@
 	stageStart       time.Time // start of the placement or of the stage of the search
 	searchedAt       time.Time // when all agents without an answer were last queried
 	probedAt         time.Time // when agents last received the packet of the search
+	offers           []offer   // of the opening, until the caller chooses; only with hedges
+	chosen           bool      // the caller acknowledged the acceptance of the owner
 	openedAt         time.Time
 	lastSeen         time.Time
 }
@@ -167,8 +170,9 @@
 	resets               resetPacer
 	startedAt            time.Time // when the first opening packet arrived
 	heldOpenings         heldOpenings
-	searchesInTick       int // searches that queried agents since the last tick
-	lookupsInTick        int // queries to replicas since the last tick
+	hedger               *hedger // nil: no hedges
+	searchesInTick       int     // searches that queried agents since the last tick
+	lookupsInTick        int     // queries to replicas since the last tick
 	out                  Outbox
 	observe              Observer
 	paused               func() bool // reports whether the process was paused since the last tick
@@ -273,9 +277,10 @@
 		// received has opened the flow.
 		f.state, f.stageStart = stateUnknown, time.Time{}
 	}
+	r.chooseOwner(now, k, f, s)
 	switch f.state {
 	case stateOwned, statePlacing:
-		r.out.Forward(f.owner, r.metadata(k, flow.PurposeOwner, f.owner), packet)
+		r.out.Forward(f.owner, r.metadata(k, r.ownerPurpose(), f.owner), packet)
 	case stateSearching:
 		if len(f.queued) < maxQueuedPackets {
 			f.queued = append(f.queued, bytes.Clone(packet))
@@ -368,6 +373,7 @@
 		r.report(Decision{Kind: DecisionNotFound, Reason: "unanswered", Key: k, Tries: f.queried, Age: now.Sub(f.openedAt)})
 		f.stage = stageAwaitAgents
 	}
+	r.hedgeOpenings(now)
 	r.resetUnowned()
 	r.placeHeldOpenings(now)
 	r.flushRegistrations()
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -10,7 +10,6 @@
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/membership"
 	"crocusnotch/platform"
-	"crocusnotch/platform/platformtest"
 )
 
 // simulation is a fleet of entries and agents with upstreams and callers, without a
@@ -27,6 +26,7 @@
 	queue        []func()
 	dropDatagram func() bool // reports whether a datagram is lost
 	lastStart    int64
+	hedgeShare   float64 // of hedges at all entries, 0: none
 }
 
 type departure struct {
@@ -52,6 +52,8 @@
 	up       bool
 	removed  bool
 	upstream *simUpstream
+	stalled  bool // its process is stopped, and datagrams wait for it
+	unread   []func()
 }
 
 // simUpstream is an upstream that behaves as the platform specifies.
@@ -59,6 +61,7 @@
 	startMillis  int64
 	sequence     int64
 	flows        map[flow.Key]uint32 // sequence number of the acceptance, by flow
+	used         map[flow.Key]bool   // flows on which the upstream received a packet
 	leaving      bool
 	down         bool
 	full         bool
@@ -76,6 +79,7 @@
 	misdelivered int // those of them that reached another upstream
 	seq          uint32
 	opened       time.Time
+	placedIn     time.Duration // until the caller received an acceptance
 }
 
 const (
@@ -135,6 +139,9 @@
 func (e *simEntry) start() {
 	e.router = NewRouter("z1", simFlowMax, e, func(Decision) {})
 	e.router.SetDisrupted(simDisrupted)
+	if e.sim.hedgeShare > 0 {
+		e.router.SetHedging(e.sim.hedgeShare)
+	}
 	e.views = newViewBuilder(&config.Passthrough{
 		Data: e.addr.AddrPort(), Zones: map[string]string{"z1": "r", "z2": "r"}, FlowMaxSeconds: simFlowMax.Seconds(),
 	})
@@ -147,13 +154,13 @@
 		Codec: codec, Out: a, Observe: func(Decision) {}, ObserveAnswer: func(time.Duration) {},
 	})
 	a.tracker.Configure(flow.Limits{}, a.sim.fleet.FlowIdle, a.sim.fleet.ZonesOut[a.zone])
-	a.up = true
+	a.up, a.stalled, a.unread = true, false, nil
 }
 
 // announce sends an announcement of the upstream to the agent.
 func (a *simAgent) announce() {
 	u := a.upstream
-	if !a.up || u.down {
+	if !a.up || u.down || a.stalled {
 		return
 	}
 	u.sequence++
@@ -235,7 +242,7 @@
 			}
 		}
 		for _, a := range sim.agents {
-			if a.up {
+			if a.up && !a.stalled {
 				a.tracker.Tick(sim.now)
 			}
 		}
@@ -286,7 +293,7 @@
 					sim.fatalf("an agent received a malformed packet: %v", err)
 					return
 				}
-				a.tracker.Packet(sim.now, from, &s, packet)
+				a.read(func() { a.tracker.Packet(sim.now, from, &s, packet) })
 			}
 		}
 	})
@@ -307,8 +314,12 @@
 			}
 		}
 		for _, a := range sim.agents {
-			if a.addr == to && a.up && !a.removed {
-				a.tracker.Query(sim.now, from, copied.Queries)
+			switch {
+			case a.addr != to || !a.up || a.removed:
+			case copied.Kind == KindAbandon:
+				a.read(func() { a.tracker.Abandon(copied.Key) })
+			default:
+				a.read(func() { a.tracker.Query(sim.now, from, copied.Queries) })
 			}
 		}
 	})
@@ -365,7 +376,7 @@
 		return
 	}
 	a.sim.recordDelivery(k, u)
-	if _, held := u.flows[k]; !held {
+	if !a.upstreamHolds(k, &s) {
 		packet[30] |= 4 // the mark of a returned packet
 		a.agentReceives(packet)
 		return
@@ -393,7 +404,7 @@
 		return
 	}
 	if !held {
-		u.flows[k] = uint32(len(u.flows)+1)*1000 + uint32(u.startMillis)
+		u.flows[k] = uint32(len(u.flows)+1)*1000 + uint32(u.startMillis)*1_000_003 // differs by more than 1 between upstreams
 	}
 	a.agentReceives(makePacket(k.Route(), k.Caller(), 1|16, u.flows[k], 0, 0))
 }
@@ -414,7 +425,7 @@
 				anyEntry = e.addr
 			}
 		}
-		a.tracker.FromUpstream(a.sim.now, &s, packet, anyEntry)
+		a.read(func() { a.tracker.FromUpstream(a.sim.now, &s, packet, anyEntry) })
 	})
 }
 
@@ -437,14 +448,10 @@
 		if c.key != k || !s.Accepted || c.open || c.reset {
 			continue
 		}
-		c.open, c.owner, c.seq = true, a.upstream, s.Seq
+		c.open, c.owner, c.seq, c.placedIn = true, a.upstream, s.Seq, sim.now.Sub(c.opened)
 	}
 }
 
-func makePacket(src, dst flow.Endpoint, flags byte, seq, ack uint32, data int) []byte {
-	return platformtest.Packet(src, dst, flags, seq, ack, make([]byte, data))
-}
-
 // send sends a packet to an entry that is up.
 func (sim *simulation) send(e *simEntry, packet []byte) {
 	if !e.up {
@@ -470,10 +477,12 @@
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
 		sim.send(pick(), makePacket(c.key.Caller(), c.key.Route(), 1, 7, uint32(copies), 0))
 		sim.deliverAll()
+		if !c.open && !c.reset {
+			sim.advance(wait)
+		}
 		if c.open || c.reset {
 			break
 		}
-		sim.advance(wait)
 	}
 	return c
 }
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -62,9 +62,10 @@
 type trackedState uint8
 
 const (
-	trackedOpening trackedState = iota // offered to the upstream
-	trackedOpen                        // the upstream accepted it, or sent packets of it
-	trackedProbing                     // a packet was sent to find out whether the upstream holds the flow
+	trackedOpening   trackedState = iota // offered to the upstream
+	trackedOpen                          // the upstream accepted it, or sent packets of it
+	trackedProbing                       // a packet was sent to find out whether the upstream holds the flow
+	trackedAbandoned                     // the caller opened it at another agent
 )
 
 // trackedFlow is an agent's state of one flow.
@@ -82,6 +83,7 @@
 	busy          bool      // a request is unanswered
 	requestedAt   time.Time // when the caller sent that request
 	lastAck       uint32    // last acknowledgement number of the caller
+	acceptedSeq   uint32    // sequence number of the upstream's acceptance, 0 if it was not seen
 }
 
 // TrackerOptions are the options of a Tracker.
@@ -257,6 +259,10 @@
 		t.handleUnknownFlow(now, k, from, meta, packet)
 		return
 	}
+	if t.openElsewhere(f, s, meta.Purpose) {
+		t.sendNotHeld(k, from, packet)
+		return
+	}
 	f.entry, f.lastSeen, f.lastAck = from, now, s.Ack
 	f.used = f.used || f.state == trackedOpen
 	switch {
@@ -308,7 +314,7 @@
 
 // openFlow sends the opening packet of a new flow to the upstream, or refuses it.
 func (t *Tracker) openFlow(now time.Time, k flow.Key, f *trackedFlow, from flow.Endpoint, meta flow.Metadata, packet []byte) {
-	if f != nil && f.state != trackedProbing {
+	if f != nil && f.state != trackedProbing && f.state != trackedAbandoned {
 		f.entry, f.lastSeen = from, now
 		if f.state == trackedOpen {
 			t.sendOwned(k, f)
@@ -360,14 +366,21 @@
 	}
 	k := s.KeyToCaller()
 	f := t.flows[k]
+	if f != nil && f.state == trackedAbandoned && s.Accepted {
+		return // the caller opened the flow at another agent
+	}
+	var accepted uint32
+	if s.Accepted {
+		accepted = s.Seq
+	}
 	switch {
 	case f == nil:
-		f = &trackedFlow{state: trackedOpen, entry: anyEntry, upstreamStart: t.upstream.Last().StartMillis, openedAt: now}
+		f = &trackedFlow{state: trackedOpen, entry: anyEntry, upstreamStart: t.upstream.Last().StartMillis, openedAt: now, acceptedSeq: accepted}
 		t.flows[k] = f
 		t.Observe(Decision{Kind: DecisionLearn, Key: k, Agent: anyEntry})
 		t.sendOwned(k, f)
 	case f.state != trackedOpen:
-		f.state, f.upstreamStart = trackedOpen, t.upstream.Last().StartMillis
+		f.state, f.upstreamStart, f.acceptedSeq = trackedOpen, t.upstream.Last().StartMillis, accepted
 		t.sendOwned(k, f)
 	}
 	f.lastSeen = now
@@ -385,6 +398,6 @@
 
 func (t *Tracker) sendOwned(k flow.Key, f *trackedFlow) {
 	if !f.entry.IsZero() {
-		t.Out.SendMessage(f.entry, &Message{Kind: KindOwned, Key: k, Load: t.currentLoad()})
+		t.Out.SendMessage(f.entry, &Message{Kind: KindOwned, Key: k, Load: t.currentLoad(), AcceptedSeq: f.halfOpenSeq()})
 	}
 }
--- a/internal/passthrough/tracker_search.go
+++ b/internal/passthrough/tracker_search.go
@@ -26,6 +26,8 @@
 	case f != nil && f.state == trackedOpen && !t.upstreamReplaced(f):
 		f.entry = from
 		return HoldingOwned
+	case f != nil && f.state == trackedAbandoned:
+		return HoldingNone
 	case f == nil && (t.allFlowsKnown(now) || t.returnedRecently(now, k)):
 		return HoldingNone
 	case f != nil && f.state == trackedProbing && t.timedOut:
@@ -38,7 +40,12 @@
 func (t *Tracker) Query(now time.Time, from flow.Endpoint, keys []flow.Key) {
 	m := &Message{Kind: KindQueryReply, Load: t.currentLoad()}
 	for _, k := range keys {
-		m.Answers = append(m.Answers, Answer{Key: k, Holding: t.holding(now, k, from)})
+		holding := t.holding(now, k, from)
+		if holding == HoldingOwned && t.flows[k].halfOpenSeq() != 0 {
+			t.sendOwned(k, t.flows[k]) // with the sequence number, by which the entry recognizes the owner
+			continue
+		}
+		m.Answers = append(m.Answers, Answer{Key: k, Holding: holding})
 	}
 	t.Out.SendMessage(from, m)
 }
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -149,6 +149,7 @@
 		Zone:    zone,
 		Slots:   int(m.Slots),
 		Suspect: m.State == membership.StateSuspect,
+		Cold:    m.State == membership.StateCold,
 	})
 }
 
