--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -55,12 +55,16 @@
 	reportedAt time.Time
 	openings   int // flows placed since the report
 	avoidUntil time.Time
+
+	serviceTimeAt time.Time // of the last report with a service time
+	sinceThen     int       // flows placed since
 }
 
 // Placement chooses agents for new flows by their reported load.
 type Placement struct {
-	zone  string
-	loads map[Endpoint]*agentLoad
+	zone        string
+	loads       map[Endpoint]*agentLoad
+	scarceSlots int // largest number of slots at which the score is the expected wait, 0: never
 }
 
 // NewPlacement returns a placement for an entry in the zone.
@@ -68,9 +72,14 @@
 	return &Placement{zone: zone, loads: map[Endpoint]*agentLoad{}}
 }
 
-// Report records the load that an agent reported.
+// SetScarceSlots sets the largest number of slots of an agent at which its score is the
+// expected wait; 0 means never.
+func (p *Placement) SetScarceSlots(n int) { p.scarceSlots = n }
+
+// Report records the load that an agent reported. Only some reports carry a service time.
 func (p *Placement) Report(now time.Time, agent Endpoint, l Load) {
 	a := p.load(agent)
+	a.recordServiceTime(now, &l)
 	a.report, a.reportedAt, a.openings = l, now, 0
 }
 
@@ -112,11 +121,12 @@
 	bestIndex, lowestScore := -1, math.Inf(1)
 	hash := k.Hash()
 	step := max(1, len(agents)/sampleSize)
+	median := p.medianServiceTime(now, agents)
 	for i := int(hash % uint64(step)); i < len(agents); i += step {
 		if contains(tried, agents[i].Addr) {
 			continue
 		}
-		score := p.score(now, &agents[i], hash)
+		score := p.score(now, &agents[i], hash, median)
 		if score < lowestScore {
 			bestIndex, lowestScore = i, score
 		}
@@ -128,14 +138,16 @@
 	if bestIndex < 0 {
 		return Agent{}, false
 	}
-	p.load(agents[bestIndex].Addr).openings++
+	chosen := p.load(agents[bestIndex].Addr)
+	chosen.openings++
+	chosen.sinceThen++
 	return agents[bestIndex], true
 }
 
 // avoidPenalty exceeds the score of any agent that is not avoided.
 const avoidPenalty = 1e6
 
-func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
+func (p *Placement) score(now time.Time, a *Agent, hash uint64, median time.Duration) float64 {
 	l := p.load(a.Addr)
 	busy := baseLoad + newFlowLoad*float64(l.openings)
 	failureRate := 0.0
@@ -143,6 +155,9 @@
 		busy += l.report.Busy
 		failureRate = l.report.FailureRate
 	}
+	if median > 0 && a.Slots <= p.scarceSlots {
+		busy = expectedWait(now, l, median)
+	}
 	// The jitter depends on the flow, so that entries with the same reports choose
 	// different agents for different flows.
 	jitter := 1 + float64(rank(hash, a.Addr)%256)/256*scoreJitter
