--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -38,6 +38,7 @@
 	Zone    string
 	Slots   int
 	Suspect bool // suspected by membership: its probes are unanswered
+	Cold    bool // its upstream is in cold start
 }
 
 // Load is the load of an upstream as its agent reports it.
@@ -55,12 +56,16 @@
 	reportedAt time.Time
 	openings   int // flows placed since the report
 	avoidUntil time.Time
+
+	serviceTimeAt time.Time // of the last report with a service time
+	sinceThen     int       // flows placed since
 }
 
 // Placement chooses agents for new flows by their reported load.
 type Placement struct {
-	zone  string
-	loads map[Endpoint]*agentLoad
+	zone        string
+	loads       map[Endpoint]*agentLoad
+	scarceSlots int // largest number of slots at which the score is the expected wait, 0: never
 }
 
 // NewPlacement returns a placement for an entry in the zone.
@@ -68,9 +73,14 @@
 	return &Placement{zone: zone, loads: map[Endpoint]*agentLoad{}}
 }
 
-// Report records the load that an agent reported.
+// SetScarceSlots sets the largest number of slots of an agent at which its score is the
+// expected wait; 0 means never.
+func (p *Placement) SetScarceSlots(n int) { p.scarceSlots = n }
+
+// Report records the load that an agent reported. Only some reports carry a service time.
 func (p *Placement) Report(now time.Time, agent Endpoint, l Load) {
 	a := p.load(agent)
+	a.recordServiceTime(now, &l)
 	a.report, a.reportedAt, a.openings = l, now, 0
 }
 
@@ -85,6 +95,17 @@
 	p.load(agent).avoidUntil = now.Add(avoidDuration)
 }
 
+// FreshReports returns the number of the agents whose report has not expired.
+func (p *Placement) FreshReports(now time.Time, agents []Agent) int {
+	n := 0
+	for i := range agents {
+		if l := p.loads[agents[i].Addr]; l != nil && now.Sub(l.reportedAt) < ReportTTL {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Placement) load(agent Endpoint) *agentLoad {
 	a := p.loads[agent]
 	if a == nil {
@@ -113,7 +134,9 @@
 		}
 	}
 	if ok {
-		p.load(agent.Addr).openings++
+		chosen := p.load(agent.Addr)
+		chosen.openings++
+		chosen.sinceThen++
 	}
 	return agent, ok
 }
@@ -126,12 +149,13 @@
 		hash := k.Hash()
 		step := max(1, len(agents)/sampleSize)
 		none := true
+		median := p.medianServiceTime(now, agents)
 		for i := int(hash % uint64(step)); i < len(agents); i += step {
 			if contains(tried, agents[i].Addr) {
 				continue
 			}
 			none = false
-			if !yield(&agents[i], p.score(now, &agents[i], hash)) {
+			if !yield(&agents[i], p.score(now, &agents[i], hash, median)) {
 				return
 			}
 		}
@@ -139,7 +163,7 @@
 			return
 		}
 		if i := slices.IndexFunc(agents, func(a Agent) bool { return !contains(tried, a.Addr) }); i >= 0 {
-			yield(&agents[i], p.score(now, &agents[i], hash))
+			yield(&agents[i], p.score(now, &agents[i], hash, median))
 		}
 	}
 }
@@ -147,7 +171,7 @@
 // avoidPenalty exceeds the score of any agent that is not avoided.
 const avoidPenalty = 1e6
 
-func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
+func (p *Placement) score(now time.Time, a *Agent, hash uint64, median time.Duration) float64 {
 	l := p.known(a.Addr)
 	busy := baseLoad + newFlowLoad*float64(l.openings)
 	failureRate := 0.0
@@ -155,6 +179,9 @@
 		busy += l.report.Busy
 		failureRate = l.report.FailureRate
 	}
+	if median > 0 && a.Slots <= p.scarceSlots {
+		busy = expectedWait(now, &l, median)
+	}
 	// The jitter depends on the flow, so that entries with the same reports choose
 	// different agents for different flows.
 	jitter := 1 + float64(rank(hash, a.Addr)%256)/256*scoreJitter
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -55,6 +55,10 @@
 	e.router.SetPaused(e.pause.Paused)
 	e.router.SetJoined(false)
 	e.router.SetDisrupted(s.Disrupted())
+	e.router.placement.SetScarceSlots(s.ScarceSlots)
+	if s.Hedge != nil {
+		e.router.SetHedging(s.Hedge.Share)
+	}
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.gauge("resets_waiting", "Flows without an owner that wait for their reset.", func() float64 { return float64(e.router.resets.waiting()) })
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
@@ -182,6 +186,7 @@
 		e.router.SetVerifiedAt(verifiedAt)
 	}
 	e.router.SetJoined(e.fleet.Joined() || now.Sub(e.started) >= joinPeriod)
+	e.router.SetDraining(e.stop.Stopping())
 	e.router.Tick(now)
 	if !e.ready.Load() {
 		e.checkReady(now, verifiedAt)
--- a/internal/passthrough/probe_relay.go
+++ b/internal/passthrough/probe_relay.go
@@ -121,6 +121,9 @@
 		return true
 	case KindProbeRelay, KindProbe:
 		return t.handleProbe(now, m)
+	case KindAbandon:
+		t.Abandon(m.Key)
+		return true
 	}
 	return false
 }
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -80,7 +80,7 @@
 func (m *faultMachine) allOwnersUp(e *simEntry) bool {
 	up := map[flow.Endpoint]bool{}
 	for _, a := range m.agents {
-		if a.up && !a.removed {
+		if a.up && !a.removed && !a.stalled {
 			up[a.addr] = true
 		}
 	}
@@ -248,30 +248,35 @@
 			waiting = m.monitorWaiting()
 		}
 		m.advance(flow.JoinWaitMax + tickPeriod)
-		t.Repeat(map[string]func(*rapid.T){
-			"open":             func(*rapid.T) { m.openFlow() },
-			"open more":        func(*rapid.T) { m.openFlow() },
-			"send":             func(*rapid.T) { m.sendOnFlow() },
-			"send more":        func(*rapid.T) { m.sendOnFlow() },
-			"restart entry":    func(*rapid.T) { m.restartEntry() },
-			"restart agent":    func(*rapid.T) { m.restartAgent() },
-			"restart both":     func(*rapid.T) { m.restartEntryWhileAgentIsDown() },
-			"drain upstream":   func(*rapid.T) { m.drainUpstream() },
-			"replace upstream": func(*rapid.T) { m.replaceUpstream() },
-			"reuse address":    func(*rapid.T) { m.reuseAddress() },
-			"zone out or in":   func(*rapid.T) { m.toggleZone() },
-			"pass":             func(*rapid.T) { m.passTime("pass") },
-			"burst": func(t *rapid.T) {
-				if !scarce {
-					t.Skip("an upstream takes every flow that no agent accepts")
-				}
-				m.burst()
-			},
-			"": func(*rapid.T) { waiting.check() },
-		})
+		actions := m.actions()
+		actions["burst"] = func(t *rapid.T) {
+			if !scarce {
+				t.Skip("an upstream takes every flow that no agent accepts")
+			}
+			m.burst()
+		}
+		actions[""] = func(*rapid.T) { waiting.check() }
+		t.Repeat(actions)
 	})
 }
 
+func (m *faultMachine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"open":             func(*rapid.T) { m.openFlow() },
+		"open more":        func(*rapid.T) { m.openFlow() },
+		"send":             func(*rapid.T) { m.sendOnFlow() },
+		"send more":        func(*rapid.T) { m.sendOnFlow() },
+		"restart entry":    func(*rapid.T) { m.restartEntry() },
+		"restart agent":    func(*rapid.T) { m.restartAgent() },
+		"restart both":     func(*rapid.T) { m.restartEntryWhileAgentIsDown() },
+		"drain upstream":   func(*rapid.T) { m.drainUpstream() },
+		"replace upstream": func(*rapid.T) { m.replaceUpstream() },
+		"reuse address":    func(*rapid.T) { m.reuseAddress() },
+		"zone out or in":   func(*rapid.T) { m.toggleZone() },
+		"pass":             func(*rapid.T) { m.passTime("pass") },
+	}
+}
+
 // A flow survives the simultaneous loss of all entry and agent processes: its
 // upstream still holds it, and a search finds it there.
 func TestFlowIsFoundAfterAllProcessesRestarted(t *testing.T) {
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -10,7 +10,6 @@
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/membership"
 	"crocusnotch/platform"
-	"crocusnotch/platform/platformtest"
 )
 
 // simulation is a fleet of entries and agents with upstreams and callers, without a
@@ -29,6 +28,7 @@
 	scarceSlots  int
 	observeAgent func(*simAgent, Decision)
 	lastStart    int64
+	hedgeShare   float64 // of hedges at all entries, 0: none
 }
 
 type departure struct {
@@ -54,6 +54,8 @@
 	up       bool
 	removed  bool
 	upstream *simUpstream
+	stalled  bool // its process is stopped, and datagrams wait for it
+	unread   []func()
 }
 
 // simUpstream is an upstream that behaves as the platform specifies.
@@ -61,6 +63,7 @@
 	startMillis  int64
 	sequence     int64
 	flows        map[flow.Key]uint32 // sequence number of the acceptance, by flow
+	used         map[flow.Key]bool   // flows on which the upstream received a packet
 	leaving      bool
 	down         bool
 	full         bool
@@ -80,6 +83,7 @@
 	misdelivered int // those of them that reached another upstream
 	seq          uint32
 	opened       time.Time
+	placedIn     time.Duration // until the caller received an acceptance
 }
 
 const (
@@ -141,6 +145,9 @@
 func (e *simEntry) start() {
 	e.router = NewRouter("z1", simFlowMax, e, func(Decision) {})
 	e.router.SetDisrupted(simDisrupted)
+	if e.sim.hedgeShare > 0 {
+		e.router.SetHedging(e.sim.hedgeShare)
+	}
 	e.views = newViewBuilder(&config.Passthrough{
 		Data: e.addr.AddrPort(), Zones: map[string]string{"z1": "r", "z2": "r", "z3": "r"}, FlowMaxSeconds: simFlowMax.Seconds(),
 	})
@@ -153,13 +160,13 @@
 		Codec: codec, Out: a, Observe: func(d Decision) { a.sim.observeAgent(a, d) }, ObserveAnswer: func(time.Duration) {}, ScarceSlots: a.sim.scarceSlots,
 	})
 	a.tracker.Configure(flow.Limits{}, a.sim.fleet.FlowIdle, a.sim.fleet.ZonesOut[a.zone])
-	a.up = true
+	a.up, a.stalled, a.unread = true, false, nil
 }
 
 // announce sends an announcement of the upstream to the agent.
 func (a *simAgent) announce() {
 	u := a.upstream
-	if !a.up || u.down {
+	if !a.up || u.down || a.stalled {
 		return
 	}
 	u.sequence++
@@ -241,7 +248,7 @@
 			}
 		}
 		for _, a := range sim.agents {
-			if a.up {
+			if a.up && !a.stalled {
 				a.tracker.Tick(sim.now)
 			}
 		}
@@ -292,7 +299,7 @@
 					sim.fatalf("an agent received a malformed packet: %v", err)
 					return
 				}
-				a.tracker.Packet(sim.now, from, &s, packet)
+				a.read(func() { a.tracker.Packet(sim.now, from, &s, packet) })
 			}
 		}
 	})
@@ -314,7 +321,7 @@
 		}
 		for _, a := range sim.agents {
 			if a.addr == to && a.up && !a.removed {
-				a.tracker.Message(sim.now, from, &copied)
+				a.read(func() { a.tracker.Message(sim.now, from, &copied) })
 			}
 		}
 	})
@@ -371,7 +378,7 @@
 		return
 	}
 	a.sim.recordDelivery(k, u)
-	if _, held := u.flows[k]; !held {
+	if !a.upstreamHolds(k, &s) {
 		packet[30] |= 4 // the mark of a returned packet
 		a.agentReceives(packet)
 		return
@@ -403,7 +410,7 @@
 		return
 	}
 	if !held {
-		u.flows[k] = uint32(len(u.flows)+1)*1000 + uint32(u.startMillis)
+		u.flows[k] = uint32(len(u.flows)+1)*1000 + uint32(u.startMillis)*1_000_003 // differs by more than 1 between upstreams
 	}
 	a.agentReceives(makePacket(k.Route(), k.Caller(), 1|16, u.flows[k], 0, 0))
 }
@@ -424,7 +431,7 @@
 				anyEntry = e.addr
 			}
 		}
-		a.tracker.FromUpstream(a.sim.now, &s, packet, anyEntry)
+		a.read(func() { a.tracker.FromUpstream(a.sim.now, &s, packet, anyEntry) })
 	})
 }
 
@@ -447,14 +454,10 @@
 		if c.key != k || !s.Accepted || c.open || c.reset {
 			continue
 		}
-		c.open, c.owner, c.seq = true, a.upstream, s.Seq
+		c.open, c.owner, c.seq, c.placedIn = true, a.upstream, s.Seq, sim.now.Sub(c.opened)
 	}
 }
 
-func makePacket(src, dst flow.Endpoint, flags byte, seq, ack uint32, data int) []byte {
-	return platformtest.Packet(src, dst, flags, seq, ack, make([]byte, data))
-}
-
 // send sends a packet to an entry that is up.
 func (sim *simulation) send(e *simEntry, packet []byte) {
 	if !e.up {
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -63,9 +63,10 @@
 type trackedState uint8
 
 const (
-	trackedOpening trackedState = iota // offered to the upstream
-	trackedOpen                        // the upstream accepted it, or sent packets of it
-	trackedProbing                     // a packet was sent to find out whether the upstream holds the flow
+	trackedOpening   trackedState = iota // offered to the upstream
+	trackedOpen                          // the upstream accepted it, or sent packets of it
+	trackedProbing                       // a packet was sent to find out whether the upstream holds the flow
+	trackedAbandoned                     // the caller opened it at another agent
 )
 
 // trackedFlow is an agent's state of one flow.
@@ -84,6 +85,7 @@
 	measured      bool      // that request got a slot at once, so its answer is a sample of the service time
 	requestedAt   time.Time // when the caller sent that request
 	lastAck       uint32    // last acknowledgement number of the caller
+	acceptedSeq   uint32    // sequence number of the upstream's acceptance, 0 if it was not seen
 }
 
 // TrackerOptions are the options of a Tracker.
@@ -291,6 +293,10 @@
 		t.endFlow(k, f, s.Ack) // a new request, which the upstream does not accept
 		return
 	}
+	if t.openElsewhere(f, s, meta.Purpose) {
+		t.sendNotHeld(k, from, packet)
+		return
+	}
 	f.entry, f.lastSeen, f.lastAck = from, now, s.Ack
 	f.used = f.used || f.state == trackedOpen
 	if s.Data > 0 || s.Fin || s.Reset {
@@ -349,7 +355,7 @@
 // openFlow sends the opening packet of a new flow to the upstream, or refuses it. copies
 // is the number of copies that its caller sent before.
 func (t *Tracker) openFlow(now time.Time, k flow.Key, f *trackedFlow, from flow.Endpoint, meta flow.Metadata, copies uint32, packet []byte) {
-	if f != nil && f.state != trackedProbing {
+	if f != nil && f.state != trackedProbing && f.state != trackedAbandoned {
 		f.entry, f.lastSeen = from, now
 		if f.state == trackedOpen {
 			t.sendOwned(k, f)
@@ -441,14 +447,21 @@
 	k := s.KeyToCaller()
 	t.abandonWaiting(k)
 	f := t.flows[k]
+	if f != nil && f.state == trackedAbandoned && s.Accepted {
+		return // the caller opened the flow at another agent
+	}
+	var accepted uint32
+	if s.Accepted {
+		accepted = s.Seq
+	}
 	switch {
 	case f == nil:
-		f = &trackedFlow{state: trackedOpen, entry: anyEntry, upstreamStart: t.upstream.Last().StartMillis, openedAt: now}
+		f = &trackedFlow{state: trackedOpen, entry: anyEntry, upstreamStart: t.upstream.Last().StartMillis, openedAt: now, acceptedSeq: accepted}
 		t.flows[k] = f
 		t.Observe(Decision{Kind: DecisionLearn, Key: k, Agent: anyEntry})
 		t.sendOwned(k, f)
 	case f.state != trackedOpen:
-		f.state, f.upstreamStart = trackedOpen, t.upstream.Last().StartMillis
+		f.state, f.upstreamStart, f.acceptedSeq = trackedOpen, t.upstream.Last().StartMillis, accepted
 		t.sendOwned(k, f)
 	}
 	f.lastSeen = now
@@ -469,6 +482,6 @@
 
 func (t *Tracker) sendOwned(k flow.Key, f *trackedFlow) {
 	if !f.entry.IsZero() {
-		t.Out.SendMessage(f.entry, &Message{Kind: KindOwned, Key: k, Load: t.currentLoad()})
+		t.Out.SendMessage(f.entry, &Message{Kind: KindOwned, Key: k, Load: t.currentLoad(), AcceptedSeq: f.halfOpenSeq()})
 	}
 }
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -149,6 +149,7 @@
 		Zone:    zone,
 		Slots:   int(m.Slots),
 		Suspect: m.State == membership.StateSuspect,
+		Cold:    m.State == membership.StateCold,
 	}
 	if why := exclusionOf(m, zone, v.Fleet); why != "" {
 		v.excluded[m.Service] = append(v.excluded[m.Service], excludedAgent{a, why})
