--- a/internal/passthrough/reset_pacer.go
+++ b/internal/passthrough/reset_pacer.go
@@ -18,7 +18,7 @@
 	resetsPerSlot = 0.3
 	// inTimeDivisor divides the target of a route: a caller whose packet arrived longer ago
 	// has too little time left for its next attempt to be served within the target.
-	inTimeDivisor = 3
+	inTimeDivisor = 2
 	// maxResetWait is the longest time that a flow without an owner waits for its reset:
 	// deadlines of callers are 1.5 s and more.
 	maxResetWait = 2 * time.Second
@@ -53,7 +53,8 @@
 
 // resetPacer spreads the resets of flows that no agent owns, so that their callers come
 // back at a rate that the upstreams can serve. Callers that can still be served in time
-// come first, within the capacity that is free; all others have a rate of their own.
+// come first, at that rate and within the capacity that is free besides; the others get
+// what is left of the rate.
 type resetPacer struct {
 	inTime  []pendingReset
 	late    []pendingReset     // ordered by addedAt
@@ -83,8 +84,9 @@
 // next removes the flows to reset in this tick and returns them. freePerTick returns the
 // number of requests that the free capacity of a service takes in a tick.
 func (p *resetPacer) next(now time.Time, freePerTick func(service string) float64) []dueReset {
-	due := p.nextInTime(now, freePerTick)
-	n := min(len(p.late), max(1, p.perTick))
+	rate := max(1, p.perTick)
+	due, used := p.nextInTime(now, rate, freePerTick)
+	n := min(len(p.late), rate-used)
 	for i := range p.late {
 		// The next tick would be too late for a flow that is overdue.
 		overdue := now.Sub(p.late[i].addedAt) > maxResetWait-tickPeriod
@@ -104,18 +106,18 @@
 	return due
 }
 
-// nextInTime removes and returns the flows in time that the free capacity takes, newest
-// first. Those that are in time no longer join the late ones.
-func (p *resetPacer) nextInTime(now time.Time, freePerTick func(service string) float64) []dueReset {
+// nextInTime removes and returns the flows in time that the free capacity and the rate
+// take, newest first, and how much of the rate they used. Those that are in time no longer
+// join the late ones.
+func (p *resetPacer) nextInTime(now time.Time, rate int, freePerTick func(service string) float64) (due []dueReset, used int) {
 	pending := p.inTime
 	p.inTime = nil
 	if len(pending) == 0 {
 		p.credit = nil // what was free earlier may be in use now
-		return nil
+		return nil, 0
 	}
 	slices.SortStableFunc(pending, func(a, b pendingReset) int { return b.openedAt.Compare(a.openedAt) })
 	credit := map[string]float64{}
-	var due []dueReset
 	for _, f := range pending {
 		if _, known := credit[f.service]; !known {
 			free := freePerTick(f.service)
@@ -128,6 +130,9 @@
 		case credit[f.service] >= 1:
 			credit[f.service]--
 			due = append(due, dueReset{f.key, resetInTime})
+		case used < rate:
+			used++
+			due = append(due, dueReset{f.key, resetInTime})
 		case overdue:
 			due = append(due, dueReset{f.key, resetOverdue})
 		default:
@@ -135,7 +140,7 @@
 		}
 	}
 	p.credit = credit
-	return due
+	return due, used
 }
 
 // addLate adds a flow that is in time no longer in its place among the late ones.
