--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -56,6 +56,10 @@
 	DecisionHedge    = "hedge"     // an opening is offered to a second agent, or the outcome of that
 )
 
+// reasonOtherService is the reason of DecisionPlace when the agents of the flow's service
+// are busy and it is offered to one of another service of its route.
+const reasonOtherService = "other-service"
+
 // DecisionProbeRelay is a decision of entries and agents: a packet of a search goes to
 // Tries more agents through a relay. With the reason "unanswered" an entry sends it to
 // Tries agents directly, since they did not answer after an earlier relay.
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -39,7 +39,7 @@
 	} else {
 		f.tried = f.tried[:0]
 	}
-	f.copies, f.offeredBusy = s.Ack, false
+	f.copies, f.offeredBusy, f.overflows = s.Ack, false, 0
 	r.place(now, k, f, route, packet, flow.RefusalNone)
 }
 
@@ -65,6 +65,14 @@
 	if len(f.tried) < maxTries {
 		agent, ok = r.placement.Choose(now, k, agents, f.tried)
 	}
+	reason := last.String()
+	if !ok && last == flow.RefusalBusy && f.overflows < maxOverflows {
+		agent, service, ok = r.overflow(now, k, f, route, service)
+		if ok {
+			f.overflows++
+			reason = reasonOtherService
+		}
+	}
 	if !ok && last == flow.RefusalBusy && !f.offeredBusy {
 		// All are busy: offer the flow to the one with the lowest score. It accepts the
 		// flow, or keeps it waiting for a short time where slots are scarce.
@@ -78,11 +86,25 @@
 	f.state, f.owner, f.stageStart = statePlacing, agent.Addr, now
 	f.offeredBusy = purpose == flow.PurposeOpenBusy
 	f.tried = append(f.tried, agent.Addr)
-	r.report(Decision{Kind: DecisionPlace, Reason: last.String(), Key: k, Agent: agent.Addr, Tries: len(f.tried)})
+	r.report(Decision{Kind: DecisionPlace, Reason: reason, Key: k, Agent: agent.Addr, Tries: len(f.tried)})
 	r.recordOffer(now, k, f, route, agent.Addr, packet)
 	r.out.Forward(agent.Addr, flow.Metadata{Purpose: purpose, Service: config.ServiceHash(service), Class: flow.ClassOf(route)}, packet)
 }
 
+// overflow returns an agent of another service of the route that has not refused the flow.
+// Agents of the flow's own service are busy then, and the route allows the other one.
+func (r *Router) overflow(now time.Time, k flow.Key, f *routedFlow, route *config.Route, own string) (agent flow.Agent, service string, ok bool) {
+	for _, c := range route.Choices {
+		if c.Service == own || c.Weight == 0 {
+			continue
+		}
+		if agent, ok = r.placement.Choose(now, k, r.view.Agents[config.ServiceID(c.Service)], f.tried); ok {
+			return agent, c.Service, true
+		}
+	}
+	return flow.Agent{}, own, false
+}
+
 // noAgent ends a placement attempt that no agent accepted. The flow is reset only
 // after the last copy of the opening packet: an agent may accept a later copy.
 func (r *Router) noAgent(k flow.Key, f *routedFlow, last flow.Refusal) {
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -30,6 +30,9 @@
 	// maxTries is the maximum number of agents that one copy of an opening packet is
 	// offered to.
 	maxTries = 4
+	// maxOverflows is the maximum number of agents of other services of the route that one
+	// copy of an opening packet is offered to when those of its own service are busy.
+	maxOverflows = 2
 	// lastCopyNumber is the number of the last copy that a caller sends of an
 	// opening packet.
 	lastCopyNumber = 2
@@ -140,6 +143,7 @@
 	owner            flow.Endpoint
 	replicas         flow.Replicas
 	tried            []flow.Endpoint
+	overflows        uint8     // offers of the last copy to agents of other services
 	offeredBusy      bool      // the last offer allowed the agent to be busy, so its refusal as busy ends the attempt
 	queried          int       // number of agents that the search queried
 	queriedAll       bool      // all agents were queried, not only those of the services of the route
