--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -180,12 +180,10 @@
 	return n
 }
 
-// ownerReplyMissing reports whether a queried agent whose upstream has announced
-// itself has not answered yet.
+// ownerReplyMissing reports whether an agent whose upstream has announced itself, and
+// that may own the flow, has not answered yet. The number of replies does not tell: those
+// of agents that are not queried again are kept.
 func (r *Router) ownerReplyMissing(k flow.Key, f *routedFlow) bool {
-	if len(f.replies) >= f.queried {
-		return false
-	}
 	for _, agent := range r.view.OwnerAddrs {
 		o := r.view.Owners[agent]
 		if !o.Announced || f.replyIndex(agent) >= 0 {
--- /dev/null
+++ b/internal/passthrough/search_restart_test.go
@@ -0,0 +1,42 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/flow"
+)
+
+// All processes were killed while the upstreams keep running (scenario kill_all), and the
+// agent of a flow's upstream is not back yet. Agents of services that the route does not
+// have can't tell and are not queried again; their replies must not stand for the missing
+// one, or the repeated search sends the packet to all other upstreams of the service
+// (TestFleetKeepsFlows, -rapid.seed=926849).
+func TestRepeatedSearchDoesNotProbeBeforeOwnerAnswers(t *testing.T) {
+	for _, agents := range []int{6, 15, 62, 195} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t.Fatalf, 3, agents)
+			e := sim.entries[0]
+			c := sim.open(1, routeA, func() *simEntry { return e })
+			owner := sim.agentOf(c)
+			sim.restartAllProcesses()
+			owner.up = false
+			out := &packetCounter{Outbox: e, to: map[flow.Endpoint]int{}}
+			e.router.out = out
+			sim.request(c, e)
+			sim.advance(3 * searchInterval) // at least two repetitions
+			is.Equal(len(out.to), 0)        // agents that received the packet
+			is.Equal(c.misdelivered, 0)
+			owner.start()
+			owner.upstream.sequence += laterSequence
+			owner.announce()
+			sim.syncViews()
+			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
+			is.Equal(c.undelivered, 0)
+			is.True(!c.reset)
+		})
+	}
+}
