--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -88,7 +88,10 @@
 	Zone    string
 	// Announced reports whether its upstream has announced itself to this process
 	// of the agent.
-	Announced   bool
+	Announced bool
+	// Departed reports whether it is no longer a member. It may come back with the flows
+	// of its upstream.
+	Departed    bool
 	Incarnation uint64
 	Since       time.Time // when this process of the agent was first seen
 }
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -182,11 +182,15 @@
 
 // ownerReplyMissing reports whether an agent whose upstream has announced itself, and
 // that may own the flow, has not answered yet. The number of replies does not tell: those
-// of agents that are not queried again are kept.
+// of agents that are not queried again are kept. An agent that could not tell and has
+// departed since counts as one that has not answered: its upstream can't be probed.
 func (r *Router) ownerReplyMissing(k flow.Key, f *routedFlow) bool {
 	for _, agent := range r.view.OwnerAddrs {
 		o := r.view.Owners[agent]
-		if !o.Announced || f.replyIndex(agent) >= 0 {
+		if !o.Announced {
+			continue
+		}
+		if i := f.replyIndex(agent); i >= 0 && (f.replies[i].state == replyDenied || !o.Departed) {
 			continue
 		}
 		if f.queriedAll || r.routeHasService(k, o.Service) {
--- a/internal/passthrough/search_restart_test.go
+++ b/internal/passthrough/search_restart_test.go
@@ -40,3 +40,44 @@
 		})
 	}
 }
+
+// The agent of a flow's upstream stops after it replied that it can't tell, while the
+// search still waits for another agent. Its reply no longer counts: the packet can't reach
+// the flow's upstream, and would reach all others of the service (TestFleetKeepsFlows,
+// -rapid.seed=2160082).
+func TestSearchDoesNotProbeAfterOwnerStopped(t *testing.T) {
+	for _, agents := range []int{6, 15, 62, 195} {
+		t.Run(fmt.Sprint(agents), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t.Fatalf, 3, agents)
+			e := sim.entries[0]
+			c := sim.open(1, routeA, func() *simEntry { return e })
+			owner := sim.agentOf(c)
+			late := sim.agents[0]
+			if late == owner {
+				late = sim.agents[1]
+			}
+			sim.restartAllProcesses()
+			late.up = false
+			out := &packetCounter{Outbox: e, to: map[flow.Endpoint]int{}}
+			e.router.out = out
+			sim.request(c, e)
+			sim.advance(lookupTimeout + 2*tickPeriod)
+			owner.stop()
+			late.start()
+			late.upstream.sequence += laterSequence
+			late.announce()
+			sim.syncViews()
+			sim.advance(3 * searchInterval) // at least two repetitions
+			is.Equal(len(out.to), 0)        // agents that received the packet
+			is.Equal(c.misdelivered, 0)
+			owner.start()
+			owner.upstream.sequence += laterSequence
+			owner.announce()
+			sim.syncViews()
+			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
+			is.Equal(c.undelivered, 0)
+			is.True(!c.reset)
+		})
+	}
+}
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -43,6 +43,7 @@
 	firstSeen   time.Time // when the incarnation was first seen
 	slots       uint16
 	zone        uint8
+	departed    bool // not a member when the latest view was built
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
@@ -63,11 +64,15 @@
 		excluded: map[uint16][]excludedAgent{},
 		members:  members,
 	}
+	for addr, o := range b.owners {
+		o.departed = true
+		b.owners[addr] = o
+	}
 	for i := range members {
 		m := &members[i]
 		switch {
 		case m.Role == membership.RoleAgent:
-			b.recordOwner(now, m)
+			b.recordOwner(now, m, false)
 			b.addAgent(v, m)
 		case m.State != membership.StateDraining:
 			v.Entries = append(v.Entries, flow.EndpointOf(m.Addr))
@@ -108,13 +113,13 @@
 	}
 }
 
-func (b *viewBuilder) recordOwner(now time.Time, m *membership.Record) {
+func (b *viewBuilder) recordOwner(now time.Time, m *membership.Record, departed bool) {
 	addr := flow.EndpointOf(m.Addr)
 	o := b.owners[addr]
 	if o.incarnation != m.Incarnation {
 		o.incarnation, o.firstSeen = m.Incarnation, now
 	}
-	o.service, o.slots, o.zone, o.lastSeen = m.Service, m.Slots, m.Zone, now
+	o.service, o.slots, o.zone, o.lastSeen, o.departed = m.Service, m.Slots, m.Zone, now, departed
 	b.owners[addr] = o
 }
 
@@ -129,7 +134,7 @@
 	case m.Slots == 0 || m.State == membership.StateDead:
 		delete(b.owners, addr)
 	case !known:
-		b.recordOwner(now, m)
+		b.recordOwner(now, m, true)
 	}
 }
 
@@ -170,7 +175,7 @@
 		case o.slots == 0 && now.Sub(o.firstSeen) > firstAnnouncementTimeout:
 			continue // its upstream has never announced itself
 		}
-		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Incarnation: o.incarnation, Since: o.firstSeen}
+		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Departed: o.departed, Incarnation: o.incarnation, Since: o.firstSeen}
 		v.OwnerAddrs = append(v.OwnerAddrs, addr)
 	}
 	slices.SortFunc(v.OwnerAddrs, flow.Endpoint.Compare)
--- a/internal/passthrough/view_test.go
+++ b/internal/passthrough/view_test.go
@@ -52,8 +52,9 @@
 			for range 2 { // the second build must not reset the timeouts
 				v = b.build(simStart.Add(tt.after), config.Empty(), members, nil)
 			}
-			_, got := v.Owners[flow.EndpointOf(addrOf(2, 1))]
+			o, got := v.Owners[flow.EndpointOf(addrOf(2, 1))]
 			is.Equal(got, tt.want)
+			is.Equal(o.Departed, got && tt.member == nil)
 		})
 	}
 }
