--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -130,9 +130,7 @@
 		r.abandonSearch(now, k, f, "")
 		return
 	}
-	unanswered := slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
-		return r.hasNoUpstream(a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
-	})
+	unanswered := r.unansweredAgents(now, f)
 	switch {
 	case len(unanswered) == 0 && r.agentsSettled(now):
 		r.concludeUnowned(now, k, f)
@@ -159,6 +157,13 @@
 	return i >= 0 && f.replies[i].state == replyNotProbeable && now.Sub(r.view.Owners[agent].Since) < r.restartPeriod
 }
 
+// unansweredAgents returns the agents whose denials a reset of the flow waits for.
+func (r *Router) unansweredAgents(now time.Time, f *routedFlow) []flow.Endpoint {
+	return slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
+		return r.hasNoUpstream(a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
+	})
+}
+
 // agentsWithoutReply returns the agents that may own the flow and have not denied it.
 func (r *Router) agentsWithoutReply(f *routedFlow) []flow.Endpoint {
 	var out []flow.Endpoint
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -42,6 +42,10 @@
 		r.queryOtherAgents(now, k, f)
 		return
 	}
+	if len(r.unansweredAgents(now, f)) > 0 {
+		f.stage = stageAwaitAgents // a denial of an agent that was not queried again came late
+		return
+	}
 	if !r.agentsSettled(now) {
 		f.stage = stageAwaitAgents
 		r.report(Decision{Kind: DecisionNotFound, Reason: "agents-unsettled", Key: k, Tries: f.queried})
--- a/internal/passthrough/search_restart_test.go
+++ b/internal/passthrough/search_restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -81,3 +82,34 @@
 		})
 	}
 }
+
+// An agent without an upstream is not queried again in a search that waits for the owner's
+// agent, which is down. A late denial of it must not stand for the owner's: the flow is
+// open.
+func TestLateDenialDoesNotResetAnOpenFlow(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 3, 6)
+	e := sim.entries[0]
+	sim.advance(time.Second)
+	idle := sim.addAgent(7, "alpha")
+	idle.upstream.down = true
+	idle.start() // its upstream has not announced itself
+	sim.syncViews()
+	e.router.Message(sim.now, idle.addr, &Message{Kind: KindNotHeld, Reason: flow.RefusalNoUpstream})
+	c := sim.open(1, routeA, func() *simEntry { return e })
+	owner := sim.agentOf(c)
+	sim.advance(flow.JoinWaitMax + tickPeriod)
+	for _, other := range sim.entries {
+		delete(other.router.flows, c.key)
+	}
+	owner.up, idle.up = false, false
+	sim.request(c, e)
+	sim.advance(searchInterval + lookupTimeout*2)
+	f := e.router.flows[c.key]
+	is.Equal(f.state, stateSearching)
+	is.True(f.denials() >= f.queried-1)
+	e.router.Message(sim.now, idle.addr, &Message{Kind: KindNotHeld, Key: c.key, Reason: flow.RefusalNoUpstream})
+	sim.advance(flow.JoinWaitMax)
+	is.Equal(f.state, stateSearching) // for the agent of the owner
+	is.True(!c.reset)
+}
