--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -32,6 +33,8 @@
 	mu           sync.Mutex
 	open         bool
 	reset        bool
+	closed       bool   // the caller has finished with the flow
+	ack          uint32 // acknowledges the acceptance that opened the flow
 	seq          uint32
 	lastExchange time.Time // start of the last exchange
 }
@@ -87,29 +90,43 @@
 // violates a guarantee unless a fault was active within faultGrace.
 func (c *callerFlow) handle(s flow.Segment) {
 	c.mu.Lock()
-	if s.Accepted {
-		c.open = true
+	if s.Accepted && !c.open && !c.reset && !c.closed {
+		c.open, c.ack = true, s.Seq+1
 	}
 	if s.Reset {
 		wasOpen := c.open
 		c.reset, c.open = true, false
+		ack := c.ack
 		c.mu.Unlock()
-		if wasOpen && c.callers.f.owned(c.key) && !c.callers.f.faults.activeWithin(faultGrace) {
+		c.respond(s)
+		if wasOpen && c.callers.f.owned(c.key, ack) && !c.callers.f.faults.activeWithin(faultGrace) {
 			c.callers.f.t.Errorf("flow %s was reset while its upstream was running", c.key)
 		}
 		return
 	}
 	c.mu.Unlock()
+	c.respond(s)
+}
+
+func (c *callerFlow) respond(s flow.Segment) {
 	select {
 	case c.responses <- s:
 	default:
 	}
 }
 
-// owned reports whether a running upstream has the flow.
-func (f *fleet) owned(k flow.Key) bool {
+// close ends the caller's use of the flow, which then times out at its upstream.
+func (c *callerFlow) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open, c.closed = false, true
+}
+
+// owned reports whether a running upstream has the flow and sent the acceptance that
+// ack acknowledges. With hedges another one may have accepted the opening too.
+func (f *fleet) owned(k flow.Key, ack uint32) bool {
 	for _, a := range f.agents {
-		if a.hasFlow(k) {
+		if a.hasFlow(k, ack) {
 			return true
 		}
 	}
@@ -130,25 +147,30 @@
 // retransmitDelays are the times to wait after each transmission of a packet.
 var retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
 
-// exchange sends a packet and its retransmissions through entries chosen by pickEntry
-// and returns the response, if one arrives.
+// exchange transmits a packet and counts the exchange.
 func (c *callerFlow) exchange(flags byte, data int, pickEntry func() int) (s flow.Segment, ok bool) {
 	c.callers.sent.Add(1)
-	defer func() {
-		if ok {
-			c.callers.succeeded.Add(1)
-		}
-	}()
+	s, ok = c.transmit(flags, data, pickEntry)
+	if ok {
+		c.callers.succeeded.Add(1)
+	}
+	return s, ok
+}
+
+// transmit sends a packet and its retransmissions through entries chosen by pickEntry
+// and returns the response, if one arrives before a reset.
+func (c *callerFlow) transmit(flags byte, data int, pickEntry func() int) (s flow.Segment, ok bool) {
 	c.mu.Lock()
 	c.seq++
 	c.lastExchange = time.Now()
-	seq := c.seq
+	seq, ack := c.seq, c.ack
 	c.mu.Unlock()
 	for len(c.responses) > 0 {
 		<-c.responses
 	}
 	for n, wait := range retransmitDelays {
 		packet := makePacket(c.key.Caller(), c.key.Route(), flags, seq, data)
+		binary.BigEndian.PutUint32(packet[offAck:], ack)
 		if flags == flagOpen {
 			packet[7] = byte(n) // number of the retransmission, in the acknowledgement number
 		}
@@ -158,6 +180,9 @@
 		for waiting := true; waiting; {
 			select {
 			case s = <-c.responses:
+				if s.Reset {
+					return s, false
+				}
 				if flags == flagOpen && s.Accepted || flags != flagOpen && s.Seq == seq {
 					return s, true
 				}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -41,7 +41,14 @@
 // services are those of the agents; routes holds the address routed to each.
 var (
 	services = []string{"alpha", "beta"}
-	routes   = map[string]netip.AddrPort{
+	// The upstreams of scarceService have few slots. scarceRoutes are its routes with a
+	// class, which are used by scarceLoad.
+	scarceService = services[0]
+	scarceRoutes  = []platformtest.Route{
+		{Address: netip.MustParseAddrPort("198.18.0.3:443"), Service: scarceService, Type: "unsafe", Priority: 1, TargetMillis: 250},
+		{Address: netip.MustParseAddrPort("198.18.0.4:443"), Service: scarceService, Type: "safe", Priority: 2, TargetMillis: 250},
+	}
+	routes = map[string]netip.AddrPort{
 		"alpha": netip.MustParseAddrPort("198.18.0.1:443"),
 		"beta":  netip.MustParseAddrPort("198.18.0.2:443"),
 	}
@@ -56,6 +63,7 @@
 	log      *os.File
 	mu       sync.Mutex
 	cmd      *exec.Cmd
+	starts   int
 	done     chan struct{}
 }
 
@@ -73,6 +81,7 @@
 	}
 	done := make(chan struct{})
 	p.cmd, p.done = cmd, done
+	p.starts++
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -80,6 +89,13 @@
 	return nil
 }
 
+// startCount returns how often the process was started.
+func (p *process) startCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
 func (p *process) running() bool {
 	if p.cmd == nil {
 		return false
@@ -125,6 +141,8 @@
 	entries     []*process
 	agents      []*agent
 	callers     *callers
+	options     options
+	ledger      *ledger
 	version     int
 	extraRoutes int // number of routes in addition to those of the services
 	faults      faultTimes
@@ -148,8 +166,8 @@
 	kindStore  = 4
 )
 
-func newFleet(t *testing.T, bin string) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New(), zonesOut: map[string]bool{}}
+func newFleet(t *testing.T, bin string, o options) *fleet {
+	f := &fleet{t: t, options: o, ledger: newLedger(t), dir: t.TempDir(), bin: bin, subnet: byte(64 + os.Getpid()%128), store: platformtest.New(), zonesOut: map[string]bool{}}
 	f.store.SetEra(1)
 	f.configure()
 	backend, err := net.Listen("tcp", f.addr(kindStore, 0, portStore).String())
@@ -162,9 +180,14 @@
 		f.agents = append(f.agents, newAgent(f, i))
 	}
 	for i := range entryCount {
-		f.entries = append(f.entries, f.newProcess("crocus-entry", kindEntry, i, map[string]any{
-			"fabric": f.addr(kindEntry, i, portCallers).String(),
-		}))
+		specific := map[string]any{"fabric": f.addr(kindEntry, i, portCallers).String()}
+		if o.entryScarce {
+			specific["scarceSlots"] = scarceSlots
+		}
+		if o.hedge {
+			specific["hedge"] = map[string]any{"share": hedgeShare}
+		}
+		f.entries = append(f.entries, f.newProcess("crocus-entry", kindEntry, i, specific))
 	}
 	t.Cleanup(func() {
 		for _, p := range f.processes() {
@@ -229,6 +252,7 @@
 	for _, s := range services {
 		list = append(list, platformtest.Route{Address: routes[s], Service: s})
 	}
+	list = append(list, scarceRoutes...)
 	for i := range f.extraRoutes {
 		list = append(list, platformtest.Route{Address: extraRoute(i), Service: services[i%len(services)]})
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -162,7 +162,7 @@
 func (f *fleet) crashUpstream(r *rand.Rand) {
 	a := f.agents[r.IntN(len(f.agents))]
 	a.mu.Lock()
-	a.silent = true
+	a.stopUpstream()
 	a.mu.Unlock()
 	time.Sleep(time.Duration(r.IntN(2500)) * time.Millisecond)
 	a.restartUpstream()
@@ -237,11 +237,12 @@
 
 // checkRecovered checks after the faults that open flows still work and that every
 // entry applies a configuration change.
-func (f *fleet) checkRecovered(r *rand.Rand) {
+func (f *fleet) checkRecovered(r *rand.Rand, load *scarceLoad) {
 	f.t.Helper()
 	time.Sleep(recoveryTime)
+	load.finish(f)
 	for _, c := range f.callers.usableFlows() {
-		if _, ok := c.exchange(flagAck, 60, func() int { return r.IntN(entryCount) }); !ok && f.owned(c.key) {
+		if _, ok := c.exchange(flagAck, 60, func() int { return r.IntN(entryCount) }); !ok && f.owned(c.key, c.ack) {
 			f.t.Errorf("flow %s got no response although its upstream is running", c.key)
 		}
 	}
@@ -265,7 +266,7 @@
 	var out []*callerFlow
 	for _, f := range c.flows {
 		f.mu.Lock()
-		if f.open && time.Since(f.lastExchange) < idleTimeout && c.f.owned(f.key) {
+		if f.open && time.Since(f.lastExchange) < idleTimeout && c.f.owned(f.key, f.ack) {
 			out = append(out, f)
 		}
 		f.mu.Unlock()
@@ -274,7 +275,9 @@
 }
 
 func soak(t *testing.T, bin string, seed uint64, length time.Duration, planned bool) {
-	f := newFleet(t, bin)
+	o := drawOptions(seed)
+	t.Logf("seed %d: %+v", seed, o)
+	f := newFleet(t, bin, o)
 	t.Cleanup(func() {
 		if t.Failed() {
 			f.saveLogs(seed)
@@ -292,16 +295,18 @@
 	if !planned {
 		running.Go(func() { f.injectRestores(seed, length) })
 	}
+	load := startScarceLoad(f, seed)
 	f.injectFaults(r, length, planned)
 	f.startAll()
+	load.endBursts()
 	close(stop)
 	running.Wait()
 	sent, succeeded := f.callers.sent.Load(), f.callers.succeeded.Load()
-	t.Logf("seed %d: %d of %d exchanges succeeded, %d flows", seed, succeeded, sent, len(f.callers.flows))
+	t.Logf("seed %d: %d of %d exchanges succeeded", seed, succeeded, sent)
 	if succeeded < callerCount {
 		t.Errorf("only %d of %d exchanges succeeded: too few for a valid test", succeeded, sent)
 	}
-	f.checkRecovered(r)
+	f.checkRecovered(r, load)
 }
 
 // saveLogs copies the settings and logs of the processes to a directory that
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,7 @@
 	flagReturned = 4
 	flagAck      = 16
 	headerSize   = 36
+	offAck       = 4
 	offFlags     = 30
 )
 
@@ -40,7 +42,10 @@
 	mu           sync.Mutex
 	incarnation  int64
 	sequence     int64
-	flows        map[flow.Key]bool
+	flows        map[flow.Key]*upstreamFlow
+	listener     net.Listener // of the check whether an upstream runs, while it does
+	busy         int          // requests being served
+	queue        []queued     // requests that wait for a slot
 	draining     bool
 	drainAckedAt time.Time // when the agent acknowledged the draining state
 	silent       bool      // sends no announcements and drops all packets
@@ -48,11 +53,15 @@
 
 func newAgent(f *fleet, i int) *agent {
 	a := &agent{f: f, index: i, service: services[i%len(services)], zone: zones[i%len(zones)]}
-	a.process = f.newProcess("crocus-agent", kindAgent, i, map[string]any{
+	specific := map[string]any{
 		"service": a.service, "upstream": f.addr(kindAgent, i, portUpstream).String(),
 		"outbound": f.addr(kindAgent, i, portOutbound).String(), "announce": f.addr(kindAgent, i, portAnnounce).String(),
-		"announceMillis": announcePeriod.Milliseconds(),
-	})
+		"announceMillis": announcePeriod.Milliseconds(), "checkUpstream": f.options.checkUpstream,
+	}
+	if f.options.agentScarce {
+		specific["scarceSlots"] = scarceSlots
+	}
+	a.process = f.newProcess("crocus-agent", kindAgent, i, specific)
 	var err error
 	a.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(f.addr(kindAgent, i, portUpstream)))
 	f.must(err)
@@ -62,6 +71,9 @@
 	f.t.Cleanup(func() {
 		close(stop)
 		_ = a.conn.Close()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.stopUpstream()
 	})
 	go a.receive()
 	go a.runAnnouncements(stop)
@@ -73,7 +85,44 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.incarnation = max(time.Now().UnixMilli(), a.incarnation+1)
-	a.sequence, a.flows, a.draining, a.drainAckedAt, a.silent = 0, map[flow.Key]bool{}, false, time.Time{}, false
+	a.sequence, a.flows, a.draining, a.drainAckedAt, a.silent = 0, map[flow.Key]*upstreamFlow{}, false, time.Time{}, false
+	a.busy, a.queue = 0, nil
+	if a.listener != nil {
+		return
+	}
+	var err error
+	if a.listener, err = net.Listen("tcp", a.conn.LocalAddr().String()); err != nil {
+		a.f.t.Error(err)
+		return
+	}
+	go acceptAndClose(a.listener)
+}
+
+// stopUpstream makes the upstream silent. The caller holds the lock.
+func (a *agent) stopUpstream() {
+	a.silent = true
+	if a.listener != nil {
+		_ = a.listener.Close()
+		a.listener = nil
+	}
+}
+
+func acceptAndClose(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+}
+
+// slots returns the number of slots that the upstream announces.
+func (a *agent) slots() int {
+	if a.service == scarceService {
+		return scarceSlots
+	}
+	return 5
 }
 
 func (a *agent) id() string { return fmt.Sprintf("i-%d-%d", a.index, a.incarnation) }
@@ -100,7 +149,7 @@
 	if a.draining {
 		state = "draining"
 	}
-	body := platformtest.Announcement(a.service, a.conn.LocalAddr().String(), a.zone, state, a.sequence, incarnation)
+	body := platformtest.Announcement(a.service, a.conn.LocalAddr().String(), a.zone, state, a.slots(), a.sequence, incarnation)
 	url := "http://" + a.f.addr(kindAgent, a.index, portAnnounce).String() + "/instances/" + a.id()
 	silent, draining := a.silent, a.draining
 	a.mu.Unlock()
@@ -128,8 +177,8 @@
 func (a *agent) replaceUpstream() {
 	a.mu.Lock()
 	url := "http://" + a.f.addr(kindAgent, a.index, portAnnounce).String() + "/instances/" + a.id()
-	a.silent = true
-	a.flows = map[flow.Key]bool{}
+	a.stopUpstream()
+	a.flows = map[flow.Key]*upstreamFlow{}
 	a.mu.Unlock()
 	client := &http.Client{Timeout: time.Second}
 	if r, err := http.NewRequest(http.MethodDelete, url, nil); err == nil {
@@ -166,31 +215,39 @@
 	}
 	k := s.KeyFromCaller()
 	if !s.Opening {
-		if !a.flows[k] {
+		held := a.flows[k]
+		if held == nil || !held.used && s.Ack != held.accepted+1 {
+			if held != nil && a.f.options.hedge && held.starts == a.startCount() {
+				a.f.t.Errorf("flow %s: an agent forwarded a packet that acknowledges another upstream's acceptance", k)
+			}
 			packet[offFlags] |= flagReturned
 			a.send(packet)
 			return
 		}
-		a.send(makePacket(k.Route(), k.Caller(), flagAck, s.Seq, 20))
+		a.serve(k, held, s.Seq)
 		return
 	}
 	if !a.f.routedTo(k, a.service) {
 		a.f.t.Errorf("service %s received an opening packet for %s", a.service, k.Route())
 	}
-	if !a.flows[k] && !a.drainAckedAt.IsZero() && time.Since(a.drainAckedAt) > drainSlack {
+	if a.flows[k] == nil && !a.drainAckedAt.IsZero() && time.Since(a.drainAckedAt) > drainSlack {
 		a.f.t.Errorf("a draining upstream received a new flow %s after the agent acknowledged the drain", time.Since(a.drainAckedAt))
 	}
-	a.flows[k] = true
-	a.send(makePacket(k.Route(), k.Caller(), flagOpen|flagAck, 1, 0))
+	if a.flows[k] == nil {
+		a.flows[k] = &upstreamFlow{accepted: rand.Uint32N(1 << 31), starts: a.startCount()}
+	}
+	a.send(makePacket(k.Route(), k.Caller(), flagOpen|flagAck, a.flows[k].accepted, 0))
 }
 
 func (a *agent) send(b []byte) { _, _ = a.conn.WriteToUDP(b, a.outbound) }
 
-// hasFlow reports whether the upstream is running and has the flow.
-func (a *agent) hasFlow(k flow.Key) bool {
+// hasFlow reports whether the upstream is running, has the flow, and sent the acceptance
+// that ack acknowledges.
+func (a *agent) hasFlow(k flow.Key, ack uint32) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.silent && a.flows[k]
+	held := a.flows[k]
+	return !a.silent && held != nil && ack == held.accepted+1
 }
 
 // routedTo reports whether any configuration routes the flow's address to the service.
@@ -199,5 +256,10 @@
 	if to.Addr().As4()[2] == 1 { // an address of extraRoute
 		return services[int(to.Addr().As4()[3]-1)%len(services)] == service
 	}
+	for _, r := range scarceRoutes {
+		if r.Address == to {
+			return r.Service == service
+		}
+	}
 	return routes[service] == to
 }
