--- a/internal/passthrough/search_restart_test.go
+++ b/internal/passthrough/search_restart_test.go
@@ -31,10 +31,7 @@
 			sim.advance(3 * searchInterval) // at least two repetitions
 			is.Equal(len(out.to), 0)        // agents that received the packet
 			is.Equal(c.misdelivered, 0)
-			owner.start()
-			owner.upstream.sequence += laterSequence
-			owner.announce()
-			sim.syncViews()
+			owner.restart()
 			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
 			is.Equal(c.undelivered, 0)
 			is.True(!c.reset)
@@ -65,17 +62,11 @@
 			sim.request(c, e)
 			sim.advance(lookupTimeout + 2*tickPeriod)
 			owner.stop()
-			late.start()
-			late.upstream.sequence += laterSequence
-			late.announce()
-			sim.syncViews()
+			late.restart()
 			sim.advance(3 * searchInterval) // at least two repetitions
 			is.Equal(len(out.to), 0)        // agents that received the packet
 			is.Equal(c.misdelivered, 0)
-			owner.start()
-			owner.upstream.sequence += laterSequence
-			owner.announce()
-			sim.syncViews()
+			owner.restart()
 			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
 			is.Equal(c.undelivered, 0)
 			is.True(!c.reset)
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -265,6 +265,15 @@
 	is.Equal(e.router.flows[k].queried, 201)
 }
 
+// restart starts the agent's process again beside its running upstream, whose next
+// announcement it receives, and shows it to the entries.
+func (a *simAgent) restart() {
+	a.start()
+	a.upstream.sequence += laterSequence
+	a.announce()
+	a.sim.syncViews()
+}
+
 // After a loss of power (scenario power_off_all) the last packet that a caller sends
 // before its deadline arrives while agents are still starting. It must reach the
 // owner when that comes back, without another packet of the caller.
@@ -282,10 +291,7 @@
 			sim.request(c, e)
 			is.True(c.undelivered > 0)
 			sim.advance(300 * time.Millisecond)
-			owner.start()
-			owner.upstream.sequence += laterSequence
-			owner.announce()
-			sim.syncViews()
+			owner.restart()
 			sim.advance(2*lookupTimeout + tickPeriod) // the query under way and the next one
 			is.Equal(c.undelivered, 0)
 			is.True(!c.reset)
