Count a restore's time for rewriting from the first of a series

Cause of soak: zone za was requested out at store era 4, its return was lost by the restore that began era 5, and the operator's repeated return is a deletion of what the copy does not have, which nobody sees. The hold of 10 s began anew with era 6, so the zone and with it service alpha stayed out until 16.9 s after the return, seen by logging each merged zone-out object.

The hold now counts from the first restore since the object's last known revision. Entries log, count and show services whose only agents are in zones out of service.

TestSeriesOfRestoresHoldsNoZoneOut fails before. Ruled out: stale reports of agents, a rewrite that was missed.

--- a/internal/membership/era.go
+++ b/internal/membership/era.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"crocusnotch/internal/config"
@@ -14,8 +15,15 @@
 
 // eraState is what is known of the eras of the store: see config.JoinRevision.
 type eraState struct {
-	era         uint64    // highest known one, 0 before the first
-	rewrittenBy time.Time // when the changes that the store lost are written again
+	era uint64 // highest known one, 0 before the first
+	// restores are those of the last rewriteTimeout and the one before them, oldest first.
+	restores []restore
+}
+
+// restore is a restore of the store from a copy, which began an era.
+type restore struct {
+	era    uint64
+	seenAt time.Time // when this process first received the era
 }
 
 // observeEra records a new era of the store, from an object or from a verification. The
@@ -25,19 +33,40 @@
 		return
 	}
 	c.out.Restored = c.out.Restored || c.era.era != 0
-	c.era = eraState{era: era, rewrittenBy: now.Add(rewriteTimeout)}
+	c.era.era = era
+	for len(c.era.restores) > 1 && !now.Before(c.era.restores[1].rewrittenBy()) {
+		c.era.restores = c.era.restores[1:]
+	}
+	c.era.restores = append(c.era.restores, restore{era: era, seenAt: now})
 }
 
+// rewrittenBy returns when the operators have written again what the restore lost.
+func (r *restore) rewrittenBy() time.Time { return r.seenAt.Add(rewriteTimeout) }
+
 // Era returns the highest known era of the store, 0 if it reports none.
 func (c *Core) Era() uint64 { return c.era.era }
 
-// awaitingRewrites reports whether changes may still be missing in a restored store.
-func (c *Core) awaitingRewrites(now time.Time) bool { return now.Before(c.era.rewrittenBy) }
+// awaitedRewrite returns the time until which a change of an object may be missing in the
+// store because a restore lost it, given the object's last known revision. awaited is
+// false if that time is over. It counts from the first restore since the revision:
+// otherwise a series of restores would hold back a change for as long as it lasts.
+func (c *Core) awaitedRewrite(now time.Time, revision uint64) (until time.Time, awaited bool) {
+	era := config.EraOf(revision)
+	first := slices.IndexFunc(c.era.restores, func(r restore) bool { return r.era > era })
+	if first < 0 {
+		return time.Time{}, false
+	}
+	until = c.era.restores[first].rewrittenBy()
+	return until, now.Before(until)
+}
 
-// awaitingRewrite reports whether an object of the revision may be missing in the store
-// because the store was restored, rather than because it was deleted.
-func (c *Core) awaitingRewrite(now time.Time, revision uint64) bool {
-	return config.EraOf(revision) < c.era.era && c.awaitingRewrites(now)
+// returnedByRestore reports whether an object of a later era is a revision that had been
+// superseded before the store was restored, and until when its successor is awaited.
+func (c *Core) returnedByRestore(now time.Time, in *config.Object) (until time.Time, returned bool) {
+	if !c.objects.wasSuperseded(in) {
+		return time.Time{}, false
+	}
+	return c.awaitedRewrite(now, c.objects.get(in.ID()).latest.Revision)
 }
 
 // MergeList merges all objects of the store as listed at the time and the revision. A
@@ -46,24 +75,30 @@
 // may be missing in it that a restored store has lost.
 func (c *Core) MergeList(now, at time.Time, listed []config.Object, revision uint64) (repeatAt time.Time) {
 	c.observeEra(now, config.EraOf(revision))
+	repeat := func(at time.Time) {
+		if repeatAt.IsZero() || at.Before(repeatAt) {
+			repeatAt = at
+		}
+	}
 	found := map[config.ID]bool{}
 	for i := range listed {
 		found[listed[i].ID()] = true
-		if c.awaitingRewrites(now) && c.objects.wasSuperseded(&listed[i]) {
-			repeatAt = c.era.rewrittenBy
+		if until, returned := c.returnedByRestore(now, &listed[i]); returned {
+			repeat(until)
 		}
 	}
 	known, _ := c.Objects()
 	for _, o := range known {
-		switch {
-		case found[o.ID()] || o.Deleted || o.Revision >= revision:
-		case c.awaitingRewrite(now, o.Revision):
-			repeatAt = c.era.rewrittenBy
-		default:
-			listed = append(listed, config.Object{
-				Kind: o.Kind, Name: o.Name, Version: o.Version, Revision: revision, Deleted: true,
-			})
+		if found[o.ID()] || o.Deleted || o.Revision >= revision {
+			continue
+		}
+		if until, awaited := c.awaitedRewrite(now, o.Revision); awaited {
+			repeat(until)
+			continue
 		}
+		listed = append(listed, config.Object{
+			Kind: o.Kind, Name: o.Name, Version: o.Version, Revision: revision, Deleted: true,
+		})
 	}
 	c.Merge(now, nil, listed)
 	c.MarkVerified(now, at, revision)
--- a/internal/membership/era_test.go
+++ b/internal/membership/era_test.go
@@ -95,3 +95,56 @@
 	is.Equal(len(deleted), 1)
 	is.True(deleted[0].Deleted)
 }
+
+// A series of restores, each before the operator had time to write again, must not keep a
+// zone out of service whose return the copies lack: the time counts from the first one.
+func TestSeriesOfRestoresHoldsNoZoneOut(t *testing.T) {
+	const gap = 2 * time.Second
+	for name, tt := range map[string]struct {
+		endKnown bool // the process has seen the end, and the copies have the request
+		want     bool // out of service while the change is awaited
+	}{
+		"end unknown": {want: true},
+		"end known":   {endKnown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := testCore(RoleEntry, 1)
+			now := testStart
+			c.MergeList(now, now, nil, config.JoinRevision(1, 80))
+			c.Merge(now, nil, []config.Object{zoneOutObject("pier", 1, 90, false)})
+			if tt.endKnown {
+				c.Merge(now, nil, []config.Object{zoneOutObject("pier", 1, 100, true)})
+			}
+			first := now.Add(gap)
+			for era := uint64(2); now.Before(testStart.Add(time.Minute)); era++ {
+				now = now.Add(gap)
+				var listed []config.Object
+				if tt.endKnown {
+					listed = append(listed, zoneOutObject("pier", era, 90, false))
+				}
+				c.MergeList(now, now, listed, config.JoinRevision(era, 95))
+				if now.Sub(first) < rewriteTimeout {
+					is.Equal(c.zonesOut()["pier"], tt.want)
+				} else {
+					is.Equal(c.zonesOut()["pier"], !tt.want) // the store's word counts
+				}
+			}
+		})
+	}
+}
+
+// A request that a restore lost and the operator wrote again stays in force when the next
+// restore loses it again: the time counts from that one.
+func TestRewrittenZoneOutIsAwaitedAgain(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	now := testStart
+	c.MergeList(now, now, []config.Object{zoneOutObject("pier", 1, 90, false)}, config.JoinRevision(1, 90))
+	for era := uint64(2); era < 12; era++ {
+		now = now.Add(6 * time.Second)
+		c.MergeList(now, now, nil, config.JoinRevision(era, 80))
+		is.True(c.zonesOut()["pier"])
+		c.Merge(now.Add(time.Second), nil, []config.Object{zoneOutObject("pier", era, 90, false)})
+	}
+}
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -92,7 +92,7 @@
 		return
 	}
 	c.observeEra(now, config.EraOf(in.Revision))
-	if c.awaitingRewrites(now) && c.objects.wasSuperseded(in) {
+	if _, returned := c.returnedByRestore(now, in); returned {
 		return
 	}
 	stored := c.objects.putIfNewer(in)
--- a/internal/membership/verified.go
+++ b/internal/membership/verified.go
@@ -106,12 +106,13 @@
 	var out []config.Object
 	for _, s := range held {
 		known := c.objects.get(s.ID())
+		_, awaited := c.awaitedRewrite(now, s.Revision)
 		switch {
 		case known != nil:
 			if known.latest.Supersedes(s.object()) {
 				out = append(out, known.latest)
 			}
-		case c.awaitingRewrite(now, s.Revision):
+		case awaited:
 		case now.Sub(c.verified.at) <= verifiedMaxAge && c.verified.revision > s.Revision:
 			out = append(out, config.Object{Kind: s.Kind, Name: s.Name, Revision: c.verified.revision, Deleted: true})
 		}
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	started  time.Time
 	router   *Router // guarded by mu
 	ready    atomic.Bool
+	// withoutAgents is the number of services whose only agents are in zones out of service.
+	withoutAgents atomic.Int64
 }
 
 // NewEntry opens the sockets of an entry.
@@ -61,6 +64,9 @@
 	}
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.gauge("resets_waiting", "Flows without an owner that wait for their reset.", func() float64 { return float64(e.router.resets.waiting()) })
+	e.counters.gauge("services_without_agents", "Services whose only agents are in zones out of service.", func() float64 {
+		return float64(e.withoutAgents.Load())
+	})
 	e.counters.gauge("configuration_age_seconds", "Time since the configuration was known to be the latest.", e.configurationAge)
 	e.counters.gauge("configuration_version", "Version of the routes in force.", func() float64 {
 		return float64(e.fleet.Config().RoutesVersion)
@@ -99,6 +105,9 @@
 	for zone := range v.Fleet.ZonesOut {
 		s.Observations = append(s.Observations, wire.Observation{Subject: "zone out", Value: zone, AgeMillis: ageMillis(verifiedAt)})
 	}
+	for service, zones := range servicesWithoutAgents(v) {
+		s.Observations = append(s.Observations, wire.Observation{Subject: "service without agents", Value: service + ", out: " + strings.Join(zones, " ")})
+	}
 }
 
 // ageMillis returns the milliseconds since at, or -1 if at is zero.
@@ -211,6 +220,7 @@
 	defer refresh.Stop()
 	b := newViewBuilder(&e.settings.Passthrough)
 	incarnations := map[netip.AddrPort]uint64{}
+	var withoutAgents map[string][]string
 	for {
 		select {
 		case <-ctx.Done():
@@ -230,6 +240,10 @@
 			incarnations[m.Addr] = m.Incarnation
 		}
 		e.mu.Unlock()
+		before := withoutAgents
+		withoutAgents = servicesWithoutAgents(v)
+		e.withoutAgents.Store(int64(len(withoutAgents)))
+		reportServicesWithoutAgents(e.deps.Log, before, withoutAgents, v.Fleet.RoutesVersion)
 		lifecycle.Sleep(ctx, viewIntervalMin)
 	}
 }
