Do not count requests that no answer will follow as busy slots

Cause: an agent counted any data packet on a flow without a running request as a new one. A copy that crossed its answer, and the data of a caller that had given up while its flow opened (its FIN overtakes the data, and the upstream closes without an answer), stayed counted for 5 s.

TestRequestsWithoutAnAnswerHoldNoSlot fails before. The tests' callers repeated one sequence number for all requests of a flow; they now advance it, as callers do.

--- /dev/null
+++ b/internal/passthrough/request_count_test.go
@@ -0,0 +1,70 @@
+package passthrough
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"crocusnotch/internal/flow"
+)
+
+// Requests that no answer will follow must not hold slots: after all processes were killed,
+// each agent counted two or more of them for up to 5 s, refused openings as busy for as
+// long, and callers gave up and left further ones behind.
+func TestRequestsWithoutAnAnswerHoldNoSlot(t *testing.T) {
+	const data = 120
+	type bench struct {
+		*roomBench
+		caller func(flags byte, seq uint32, data int)
+	}
+	for name, steps := range map[string]func(b bench){
+		"a copy crosses the answer": func(b bench) {
+			b.caller(16, 8, data)
+			b.answer(1, 16, data)
+			b.caller(16, 8, data)
+		},
+		"the data of a caller that gave up follows its end": func(b bench) {
+			b.caller(16|64, 8+data, 0)
+			b.caller(16, 8, data)
+		},
+		"the upstream closes instead of an answer": func(b bench) {
+			b.caller(16, 8, data)
+			b.answer(1, 16|64, 0)
+		},
+		"a copy across the wrap of sequence numbers": func(b bench) {
+			b.caller(16, ^uint32(0)-data/2, data)
+			b.answer(1, 16, data)
+			b.caller(16, ^uint32(0)-data/2, data)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := bench{roomBench: newRoomBench(0, 2)}
+			b.caller = func(flags byte, seq uint32, data int) {
+				packet := makePacket(roomKey(1).Caller(), roomKey(1).Route(), flags, seq, 9, data)
+				s, _ := codec.Decode(packet)
+				b.tracker.Packet(b.now, roomEntry, &s, packet)
+			}
+			b.open(1, flow.PurposeOpen, unsafe)
+			b.answer(1, 1|16, 0)
+			steps(b)
+			is.Equal(b.tracker.Busy(), 0)
+		})
+	}
+}
+
+// The next request on a flow counts, whose sequence number follows that of the last one,
+// also across the wrap.
+func TestNextRequestOfAFlowHoldsASlot(t *testing.T) {
+	is := is.New(t)
+	b := newRoomBench(0, 2)
+	b.open(1, flow.PurposeOpen, unsafe)
+	b.answer(1, 1|16, 0)
+	b.sent[roomKey(1)] = ^uint32(0) - 100
+	for range 3 {
+		b.request(1, 16, 120)
+		is.Equal(b.tracker.Busy(), 1)
+		b.answer(1, 16, 100)
+		is.Equal(b.tracker.Busy(), 0)
+	}
+}
--- a/internal/passthrough/sim_caller_test.go
+++ b/internal/passthrough/sim_caller_test.go
@@ -44,8 +44,10 @@
 
 // request sends a packet with data on an open flow.
 func (sim *simulation) request(c *simCaller, e *simEntry) {
+	const size = 120
 	c.undelivered++
-	sim.send(e, makePacket(c.key.Caller(), c.key.Route(), 16, 8, c.seq+1, 120))
+	sim.send(e, makePacket(c.key.Caller(), c.key.Route(), 16, 8+c.sent, c.seq+1, size))
+	c.sent += size
 	sim.deliverAll() // delivers all copies of the packet that a search sends
 	if c.misdelivered >= 3 && c.undelivered >= 3 {
 		sim.fatalf("three packets of flow %s reached other upstreams and none reached its own", c.key)
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -83,6 +83,7 @@
 	undelivered  int // packets sent since the last one that reached the owner
 	misdelivered int // those of them that reached another upstream
 	seq          uint32
+	sent         uint32 // bytes of data
 	opened       time.Time
 	placedIn     time.Duration // until the caller received an acceptance
 }
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -84,6 +84,9 @@
 	busy          bool      // a request is unanswered
 	measured      bool      // that request got a slot at once, so its answer is a sample of the service time
 	requestedAt   time.Time // when the caller sent that request
+	closed        bool      // the caller has closed or reset the flow
+	requested     bool      // the caller has sent data
+	requestEnd    uint32    // sequence number after the last byte of data that the caller has sent
 	lastAck       uint32    // last acknowledgement number of the caller
 	acceptedSeq   uint32    // sequence number of the upstream's acceptance, 0 if it was not seen
 }
@@ -289,7 +292,8 @@
 		t.handleUnknownFlow(now, k, from, meta, packet)
 		return
 	}
-	if s.Data > 0 && !f.busy && t.isEnding(k) {
+	newData := f.recordData(s)
+	if newData && !f.busy && t.isEnding(k) {
 		t.endFlow(k, f, s.Ack) // a new request, which the upstream does not accept
 		return
 	}
@@ -302,10 +306,11 @@
 	if s.Data > 0 || s.Fin || s.Reset {
 		t.reservations.Remove(k)
 	}
+	f.closed = f.closed || s.Fin || s.Reset
 	switch {
-	case s.Fin || s.Reset:
+	case f.closed:
 		t.requestFailed(f) // the caller has abandoned an unanswered request
-	case s.Data > 0 && !f.busy && f.state != trackedProbing:
+	case newData && !f.busy && f.state != trackedProbing:
 		f.busy, f.requestedAt = true, now
 		t.busyRequests++
 		f.measured = t.scarce() && t.busyRequests <= t.upstream.Last().Slots
@@ -314,6 +319,18 @@
 	t.serveWaiting(now)
 }
 
+// recordData reports whether the packet carries data that the caller has not sent before.
+// A copy of a request that crosses its answer is not answered again: counted as a request,
+// it would hold a slot until requestTimeout.
+func (f *trackedFlow) recordData(s *flow.Segment) bool {
+	end := s.Seq + uint32(s.Data)
+	if s.Data == 0 || f.requested && int32(end-f.requestEnd) <= 0 {
+		return false
+	}
+	f.requested, f.requestEnd = true, end
+	return true
+}
+
 // upstreamReplaced reports whether the upstream that held the flow has been replaced
 // by another one or by a restart.
 func (t *Tracker) upstreamReplaced(f *trackedFlow) bool {
@@ -474,7 +491,7 @@
 		t.outcomes.Answered()
 		t.requestDone(f)
 	}
-	if s.Reset {
+	if s.Reset || s.Fin {
 		t.requestFailed(f)
 	}
 	t.Out.ToCaller(k, packet)
--- a/internal/passthrough/tracker_test.go
+++ b/internal/passthrough/tracker_test.go
@@ -80,8 +80,10 @@
 	sim := newSimulation(t.Fatalf, 1, 3)
 	c := sim.open(1, routeA, func() *simEntry { return sim.entries[0] })
 	a := sim.agentOf(c)
+	seq := uint32(8)
 	sendRequest := func(flags byte) {
-		packet := makePacket(c.key.Caller(), c.key.Route(), flags, 8, c.seq+1, 120)
+		packet := makePacket(c.key.Caller(), c.key.Route(), flags, seq, c.seq+1, 120)
+		seq += 120
 		s, _ := codec.Decode(packet)
 		a.tracker.Packet(sim.now, sim.entries[0].addr, &s, packet)
 		sim.queue = nil // the upstream does not answer
--- a/internal/passthrough/tracker_waiting_test.go
+++ b/internal/passthrough/tracker_waiting_test.go
@@ -25,7 +25,8 @@
 	sequence   int64
 	slots      int
 	start      int64
-	copies     uint32 // number of the copy of the next opening packets
+	copies     uint32              // number of the copy of the next opening packets
+	sent       map[flow.Key]uint32 // bytes of data that the callers have sent
 }
 
 const roomService = "alpha"
@@ -37,7 +38,7 @@
 )
 
 func newRoomBench(scarceSlots, slots int) *roomBench {
-	b := &roomBench{now: simStart, slots: slots, start: 1, refused: map[flow.Key]flow.Refusal{}, refusedTo: map[flow.Key]flow.Endpoint{}}
+	b := &roomBench{now: simStart, slots: slots, start: 1, refused: map[flow.Key]flow.Refusal{}, refusedTo: map[flow.Key]flow.Endpoint{}, sent: map[flow.Key]uint32{}}
 	b.tracker = NewTracker(TrackerOptions{
 		Service: roomService, Started: b.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout, ScarceSlots: scarceSlots,
 		Codec: codec, Out: b, Observe: func(d Decision) { b.decisions = append(b.decisions, d) }, ObserveAnswer: func(time.Duration) {},
@@ -95,7 +96,8 @@
 // request sends a request on flow i, or closes it.
 func (b *roomBench) request(i int, flags byte, data int) {
 	k := roomKey(i)
-	packet := makePacket(k.Caller(), k.Route(), flags, 8, 9, data)
+	packet := makePacket(k.Caller(), k.Route(), flags, 8+b.sent[k], 9, data)
+	b.sent[k] += uint32(data)
 	s, _ := codec.Decode(packet)
 	b.tracker.Packet(b.now, roomEntry, &s, packet)
 }
