Count an answer that its flow's end overtakes as answered

The sequence number of the FIN tells whether data precedes it.

TestEndThatOvertakesTheAnswerIsNoFailure fails before.

--- a/internal/passthrough/request_count_test.go
+++ b/internal/passthrough/request_count_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -68,3 +69,27 @@
 		is.Equal(b.tracker.Busy(), 0)
 	}
 }
+
+// The end of a flow often overtakes the answer before it. Counted as a failed request, it
+// made every upstream look as if it failed most of its requests.
+func TestEndThatOvertakesTheAnswerIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	b := newRoomBench(0, 2)
+	answered := 0
+	b.tracker.ObserveAnswer = func(time.Duration) { answered++ }
+	b.open(1, flow.PurposeOpen, unsafe)
+	send := func(flags byte, seq uint32, data int) {
+		packet := makePacket(roomKey(1).Route(), roomKey(1).Caller(), flags, seq, 9, data)
+		s, _ := codec.Decode(packet)
+		b.tracker.FromUpstream(b.now, &s, packet, roomEntry)
+	}
+	send(1|16, 100, 0)
+	b.request(1, 16, 120)
+	send(16, 101, 0)       // acknowledgement of the request
+	send(16|64, 101+60, 0) // the end, after 60 bytes
+	is.Equal(b.tracker.Busy(), 0)
+	send(16, 101, 60)
+	is.Equal(answered, 1)
+	b.pass(time.Second)
+	is.Equal(b.tracker.FailureRate(), 0.0)
+}
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -89,6 +89,7 @@
 	requestEnd    uint32    // sequence number after the last byte of data that the caller has sent
 	lastAck       uint32    // last acknowledgement number of the caller
 	acceptedSeq   uint32    // sequence number of the upstream's acceptance, 0 if it was not seen
+	upstreamEnd   uint32    // sequence number after the last byte that the upstream has sent, 0 if none was seen
 }
 
 // TrackerOptions are the options of a Tracker.
@@ -331,6 +332,20 @@
 	return true
 }
 
+// recordAnswer reports whether the upstream's packet belongs to an answer: it carries data,
+// or it is the end of the flow and has overtaken data.
+func (f *trackedFlow) recordAnswer(s *flow.Segment) bool {
+	overtaken := f.upstreamEnd != 0 && int32(s.Seq-f.upstreamEnd) > 0
+	end := s.Seq + uint32(s.Data)
+	if s.Accepted {
+		end++ // an acceptance takes a sequence number
+	}
+	if f.upstreamEnd == 0 || int32(end-f.upstreamEnd) > 0 {
+		f.upstreamEnd = end
+	}
+	return s.Data > 0 || s.Fin && overtaken
+}
+
 // upstreamReplaced reports whether the upstream that held the flow has been replaced
 // by another one or by a restart.
 func (t *Tracker) upstreamReplaced(f *trackedFlow) bool {
@@ -483,7 +498,7 @@
 	}
 	f.lastSeen = now
 	f.used = f.used || !s.Accepted
-	if s.Data > 0 && f.busy {
+	if f.recordAnswer(s) && f.busy {
 		t.ObserveAnswer(now.Sub(f.requestedAt))
 		if f.measured {
 			t.serviceTimes.Add(now.Sub(f.requestedAt))
