Publish that no upstream runs on an agent's instance

Cause: after a loss of power an agent comes back for 0.2 s on an instance whose upstream had left. Each search of each entry waited 60 ms for it, or a second where it had never answered, so callers of dead flows were reset too late for their target: seen by logging which agents a search had no reply from.

Change: the agent's membership record says so (a field that older processes ignore), and a search goes on without its reply after 10 ms. An answer to the search counts more than the record.

TestSearchDoesNotWaitForARecordWithoutUpstream fails before.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -223,13 +223,16 @@
 	before := a.published
 	a.published.State = state
 	a.published.Slots = uint16(min(slots, 1<<16-1))
+	a.published.NoUpstream = a.tracker.upstreamRefused()
 	record := a.published
 	a.mu.Unlock()
 	if record == before {
 		return
 	}
-	a.deps.Log.Info("record", "state", record.State.String(), "slots", record.Slots)
-	a.fleet.Update(func(r *membership.Record) { r.State, r.Slots = record.State, record.Slots })
+	a.deps.Log.Info("record", "state", record.State.String(), "slots", record.Slots, "no_upstream", record.NoUpstream)
+	a.fleet.Update(func(r *membership.Record) {
+		r.State, r.Slots, r.NoUpstream = record.State, record.Slots, record.NoUpstream
+	})
 }
 
 func (a *Agent) handleEntryDatagram(from netip.AddrPort, b []byte) {
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -94,7 +94,10 @@
 	Announced bool
 	// Departed reports whether it is no longer a member. It may come back with the flows
 	// of its upstream.
-	Departed    bool
+	Departed bool
+	// NoUpstream reports whether the agent has published that no upstream is running on
+	// its instance, so that it owns no flow.
+	NoUpstream  bool
 	Incarnation uint64
 	Since       time.Time // when this process of the agent was first seen
 }
@@ -383,6 +386,10 @@
 			r.awaitAgents(now, k, f)
 			continue
 		}
+		if f.stage == flow.ReplicaCount && now.Sub(f.stageStart) >= publishedReplyWait && r.missingReplies(k, f) == 0 {
+			r.allDenied(now, k, f)
+			continue
+		}
 		if now.Sub(f.stageStart) < lookupTimeout {
 			continue
 		}
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -160,10 +160,22 @@
 // unansweredAgents returns the agents whose denials a reset of the flow waits for.
 func (r *Router) unansweredAgents(now time.Time, f *routedFlow) []flow.Endpoint {
 	return slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
-		return r.hasNoUpstream(a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
+		return r.isWithoutUpstream(f, a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
 	})
 }
 
+// missingReplies returns the number of queried agents that have not denied the flow, without
+// those that have published that no upstream is running there.
+func (r *Router) missingReplies(k flow.Key, f *routedFlow) int {
+	n := f.queried - f.denials()
+	for _, agent := range r.view.OwnerAddrs {
+		if (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) && r.isWithoutUpstream(f, agent) {
+			n--
+		}
+	}
+	return n
+}
+
 // agentsWithoutReply returns the agents that may own the flow and have not denied it.
 func (r *Router) agentsWithoutReply(f *routedFlow) []flow.Endpoint {
 	var out []flow.Endpoint
--- a/internal/passthrough/search_replies.go
+++ b/internal/passthrough/search_replies.go
@@ -38,6 +38,12 @@
 		r.probe(now, k, f)
 		return
 	}
+	r.allDenied(now, k, f)
+}
+
+// allDenied goes on with a search whose queried agents have denied the flow, or need not
+// answer.
+func (r *Router) allDenied(now time.Time, k flow.Key, f *routedFlow) {
 	if !f.queriedAll {
 		r.queryOtherAgents(now, k, f)
 		return
--- a/internal/passthrough/unresponsive.go
+++ b/internal/passthrough/unresponsive.go
@@ -15,6 +15,10 @@
 	// unresponsiveMinAge is the shortest time from an agent's start until it may count as
 	// unresponsive: an upstream beside it announces itself about once a second.
 	unresponsiveMinAge = time.Second
+	// publishedReplyWait is how long a search waits for an agent that has published that
+	// no upstream is running there: a round trip between zones, since the record may be
+	// older than the answer.
+	publishedReplyWait = 10 * time.Millisecond
 )
 
 // unanswered counts the queries to an agent since its last message.
@@ -78,11 +82,18 @@
 	}
 }
 
-// hasNoUpstream reports whether the agent's last answer said that no upstream is running
-// there. It owns no flow then, so that no search waits for its reply: it may have vanished
-// again.
+// hasNoUpstream reports whether the agent's record or its last answer said that no upstream
+// is running there. It owns no flow then, so that no search waits for its reply: it may have
+// vanished again.
 func (r *Router) hasNoUpstream(agent flow.Endpoint) bool {
 	incarnation, known := r.withoutUpstream[agent]
 	o := r.view.Owners[agent]
-	return known && !o.Announced && o.Incarnation == incarnation
+	return !o.Announced && (o.NoUpstream || known && o.Incarnation == incarnation)
+}
+
+// isWithoutUpstream reports whether the agent is not waited for in the search of the flow,
+// since no upstream is running there. An answer to this search counts more: the record
+// may be older.
+func (r *Router) isWithoutUpstream(f *routedFlow, agent flow.Endpoint) bool {
+	return f.replyIndex(agent) < 0 && r.hasNoUpstream(agent)
 }
--- a/internal/passthrough/upstream_check.go
+++ b/internal/passthrough/upstream_check.go
@@ -129,10 +129,11 @@
 func (a *Agent) handleUpstreamCheck(started time.Time, r upstreamCheckResult) {
 	a.counters.upstreamChecks.WithLabelValues(string(r)).Inc()
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	if r != upstreamInconclusive && !a.pause.Paused() {
 		a.tracker.SetUpstreamRefused(started, r == upstreamRefused)
 	}
+	a.mu.Unlock()
+	a.publishUpstream(time.Now())
 }
 
 // SetUpstreamRefused records the result of a check that started at now: whether the
@@ -150,5 +151,9 @@
 	}
 }
 
+// upstreamRefused reports whether the last check found no upstream running, so that this
+// agent owns no flow.
+func (t *Tracker) upstreamRefused() bool { return t.refused }
+
 // upstreamAnnounced reports whether the upstream has announced itself to this process.
 func (t *Tracker) upstreamAnnounced() bool { return t.upstream.Last().StartMillis != 0 }
--- a/internal/passthrough/upstream_check_test.go
+++ b/internal/passthrough/upstream_check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -86,6 +87,44 @@
 	}
 }
 
+// Agents without an upstream often vanish before they have answered this entry. Their
+// records say that they own no flow: each search waited up to a second for them.
+func TestSearchDoesNotWaitForARecordWithoutUpstream(t *testing.T) {
+	for name, tt := range map[string]struct {
+		noUpstream, answers bool
+		want                routedState
+	}{
+		"published":                        {noUpstream: true, want: stateUnowned},
+		"not published":                    {want: stateSearching},
+		"published, but it can't tell now": {noUpstream: true, answers: true, want: stateSearching},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t.Fatalf, 1, 9)
+			sim.advance(time.Second)
+			a := sim.addAgent(30, "alpha")
+			a.upstream.down = true
+			a.start()
+			sim.syncViews()
+			a.removed = !tt.answers
+			e := sim.entries[0]
+			v := *e.router.view
+			v.Owners = maps.Clone(v.Owners)
+			o := v.Owners[a.addr]
+			o.Announced, o.NoUpstream = false, tt.noUpstream
+			v.Owners[a.addr] = o
+			e.router.SetView(sim.now, &v)
+			sim.advance(flow.JoinWaitMax + tickPeriod)
+			a.start() // an agent whose upstream is silent denies flows after a while
+			k := nthKey(1)
+			sim.send(e, makePacket(k.Caller(), k.Route(), 16, 8, 9, 100))
+			sim.deliverAll()
+			sim.advance(tickPeriod)
+			is.Equal(e.router.flows[k].state, tt.want)
+		})
+	}
+}
+
 // A refused connection proves that no upstream was running when the check started. The
 // result must not outlast a sign of life, or flows of a running upstream would be reset.
 func TestRefusedUpstreamOwnsNoFlow(t *testing.T) {
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -44,6 +44,7 @@
 	slots       uint16
 	zone        uint8
 	departed    bool // not a member when the latest view was built
+	noUpstream  bool // no upstream is running on its instance
 }
 
 func newViewBuilder(s *config.Passthrough) *viewBuilder {
@@ -119,7 +120,7 @@
 	if o.incarnation != m.Incarnation {
 		o.incarnation, o.firstSeen = m.Incarnation, now
 	}
-	o.service, o.slots, o.zone, o.lastSeen, o.departed = m.Service, m.Slots, m.Zone, now, departed
+	o.service, o.slots, o.zone, o.lastSeen, o.departed, o.noUpstream = m.Service, m.Slots, m.Zone, now, departed, m.NoUpstream
 	b.owners[addr] = o
 }
 
@@ -176,7 +177,7 @@
 		case o.slots == 0 && now.Sub(o.firstSeen) > firstAnnouncementTimeout:
 			continue // its upstream has never announced itself
 		}
-		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Departed: o.departed, Incarnation: o.incarnation, Since: o.firstSeen}
+		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Departed: o.departed, NoUpstream: o.noUpstream, Incarnation: o.incarnation, Since: o.firstSeen}
 		v.OwnerAddrs = append(v.OwnerAddrs, addr)
 	}
 	slices.SortFunc(v.OwnerAddrs, flow.Endpoint.Compare)
--- a/internal/passthrough/view_test.go
+++ b/internal/passthrough/view_test.go
@@ -28,6 +28,7 @@
 		"suspect":                              {member: ptr(record(membership.StateSuspect, 5)), want: true},
 		"upstream not announced yet":           {member: ptr(record(membership.StateDraining, 0)), want: true},
 		"never announced":                      {member: ptr(record(membership.StateDraining, 0)), after: firstAnnouncementTimeout + 1},
+		"no upstream running":                  {member: ptr(withoutUpstreamRunning(record(membership.StateDraining, 0))), want: true},
 		"left to restart":                      {departed: ptr(record(membership.StateLeft, 5)), want: true},
 		"left long ago":                        {departed: ptr(record(membership.StateLeft, 5)), after: departedOwnerTTL + 1},
 		"left after its upstream ended":        {departed: ptr(record(membership.StateLeft, 0))},
@@ -55,8 +56,14 @@
 			o, got := v.Owners[flow.EndpointOf(addrOf(2, 1))]
 			is.Equal(got, tt.want)
 			is.Equal(o.Departed, got && tt.member == nil)
+			is.Equal(o.NoUpstream, tt.member != nil && tt.member.NoUpstream)
 		})
 	}
 }
 
+func withoutUpstreamRunning(r membership.Record) membership.Record {
+	r.NoUpstream = true
+	return r
+}
+
 func ptr[T any](v T) *T { return &v }
