Query agents whose upstream has ended in every search

Such an agent now publishes that it owns no flow, so searches query it and go on without its reply after 10 ms. Its reply comes within a round trip.

TestFlowOfASuccessorIsNotResetByAnOlderView fails before.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -223,7 +223,7 @@
 	before := a.published
 	a.published.State = state
 	a.published.Slots = uint16(min(slots, 1<<16-1))
-	a.published.NoUpstream = a.tracker.upstreamRefused()
+	a.published.NoUpstream = a.tracker.withoutUpstream()
 	record := a.published
 	a.mu.Unlock()
 	if record == before {
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -453,3 +453,48 @@
 		}
 	}
 }
+
+// An upstream ended and its successor opened a flow, whose next packet reaches an entry
+// that has not received the agent's new record yet. That entry left the agent out of its
+// search, and all others denied the flow: it was reset (soak seed 896044).
+func TestFlowOfASuccessorIsNotResetByAnOlderView(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 3, 4)
+	sim.advance(5 * time.Second)
+	var a *simAgent // the only agent of the flow's service that accepts it
+	for _, other := range sim.agents {
+		switch {
+		case other.service != "alpha":
+		case a == nil:
+			a = other
+		default:
+			other.tracker.Drain()
+		}
+	}
+	last := a.tracker.Last()
+	a.tracker.Announce(sim.now, flow.Announcement{ID: last.ID, Ended: true, StartMillis: last.StartMillis})
+	a.upstream = sim.newUpstream()
+	sim.advance(tickPeriod)
+	sim.syncViews()
+	behind := sim.entries[1]
+	behind.behind = true
+
+	a.announce()
+	sim.syncViews()
+	i := 1 // a flow whose replicas are the other two entries, which have not been told of it yet
+	for slices.Contains(replicasOf(sim, i), sim.entries[0].addr) {
+		i++
+	}
+	c := sim.open(i, routeA, func() *simEntry { return sim.entries[0] })
+	is.True(c.open)
+	sim.request(c, behind)
+	sim.advance(4 * tickPeriod)
+	is.True(!c.reset)
+	is.Equal(behind.router.flows[c.key].state, stateOwned)
+}
+
+func replicasOf(sim *simulation, caller int) []flow.Endpoint {
+	k := flow.KeyOf(flow.EndpointOf(addrOf(9, caller)), flow.EndpointOf(routeA))
+	replicas := flow.ReplicasOf(k, sim.entries[0].router.view.Entries)
+	return replicas[:]
+}
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -43,6 +43,7 @@
 	router *Router
 	views  *viewBuilder
 	up     bool
+	behind bool // receives no new views
 }
 
 // simAgent is an agent with its upstream.
@@ -193,7 +194,7 @@
 	r := membership.Record{
 		Addr: a.addr.AddrPort(), Role: membership.RoleAgent, Service: config.ServiceID(a.service),
 		State: memberState(a.tracker.State(a.sim.now)), Slots: uint16(a.tracker.Last().Slots),
-		Incarnation: uint64(a.tracker.Started.UnixMilli()),
+		Incarnation: uint64(a.tracker.Started.UnixMilli()), NoUpstream: a.tracker.withoutUpstream(),
 	}
 	for i, z := range allZoneNames {
 		if z == a.zone {
@@ -225,7 +226,7 @@
 		}
 	}
 	for _, e := range sim.entries {
-		if !e.up {
+		if !e.up || e.behind {
 			continue
 		}
 		var others []membership.Record
--- a/internal/passthrough/upstream_check.go
+++ b/internal/passthrough/upstream_check.go
@@ -151,9 +151,11 @@
 	}
 }
 
-// upstreamRefused reports whether the last check found no upstream running, so that this
-// agent owns no flow.
-func (t *Tracker) upstreamRefused() bool { return t.refused }
+// withoutUpstream reports whether no upstream is running, by the last check or since it
+// announced its end, so that this agent owns no flow.
+func (t *Tracker) withoutUpstream() bool {
+	return t.refused || t.upstream.Last().Ended && len(t.ending) == 0
+}
 
 // upstreamAnnounced reports whether the upstream has announced itself to this process.
 func (t *Tracker) upstreamAnnounced() bool { return t.upstream.Last().StartMillis != 0 }
--- a/internal/passthrough/view.go
+++ b/internal/passthrough/view.go
@@ -174,7 +174,7 @@
 		case now.Sub(o.lastSeen) > departedOwnerTTL:
 			delete(b.owners, addr)
 			continue
-		case o.slots == 0 && now.Sub(o.firstSeen) > firstAnnouncementTimeout:
+		case o.slots == 0 && !o.noUpstream && now.Sub(o.firstSeen) > firstAnnouncementTimeout:
 			continue // its upstream has never announced itself
 		}
 		v.Owners[addr] = Owner{Service: names[o.service], Zone: b.zoneName(o.zone), Announced: o.slots > 0, Departed: o.departed, NoUpstream: o.noUpstream, Incarnation: o.incarnation, Since: o.firstSeen}
--- a/internal/passthrough/view_test.go
+++ b/internal/passthrough/view_test.go
@@ -28,6 +28,7 @@
 		"suspect":                              {member: ptr(record(membership.StateSuspect, 5)), want: true},
 		"upstream not announced yet":           {member: ptr(record(membership.StateDraining, 0)), want: true},
 		"never announced":                      {member: ptr(record(membership.StateDraining, 0)), after: firstAnnouncementTimeout + 1},
+		"upstream ended, may start anew":       {member: ptr(withoutUpstreamRunning(record(membership.StateDraining, 0))), after: firstAnnouncementTimeout + 1, want: true},
 		"no upstream running":                  {member: ptr(withoutUpstreamRunning(record(membership.StateDraining, 0))), want: true},
 		"left to restart":                      {departed: ptr(record(membership.StateLeft, 5)), want: true},
 		"left long ago":                        {departed: ptr(record(membership.StateLeft, 5)), after: departedOwnerTTL + 1},
