Remove placement by expected wait from entries

Service times in load reports stay: the rate of resets uses them. The soak still draws the option, so that seeds keep their others.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -137,10 +137,6 @@
 	// DisruptedMillis is how long after the start of a process operators count what
 	// happens to its flows as caused by the start.
 	DisruptedMillis int `json:"disruptedMillis" validate:"gte=0,lte=60000"`
-	// ScarceSlots is the largest number of slots of an upstream at which placement and
-	// admission go by the expected wait; 0 means never. Where an upstream has few slots,
-	// one long request delays all that wait behind it.
-	ScarceSlots int `json:"scarceSlots,omitempty" validate:"gte=0,lte=64"`
 }
 
 // PassthroughEntry are the settings of crocus-entry for passed-through flows.
@@ -177,6 +173,9 @@
 	// accept TCP connections there: the flows of others would be reset after a restart of
 	// all processes.
 	CheckUpstream bool `json:"checkUpstream,omitempty"`
+	// ScarceSlots is the largest number of slots of an upstream at which new flows are
+	// admitted by their expected wait and wait here for free capacity; 0 means never.
+	ScarceSlots int `json:"scarceSlots,omitempty" validate:"gte=0,lte=64"`
 }
 
 // ZoneID returns the ID of a zone in membership records: its position in ZoneNames,
--- a/internal/flow/placement.go
+++ b/internal/flow/placement.go
@@ -58,14 +58,12 @@
 	avoidUntil time.Time
 
 	serviceTimeAt time.Time // of the last report with a service time
-	sinceThen     int       // flows placed since
 }
 
 // Placement chooses agents for new flows by their reported load.
 type Placement struct {
-	zone        string
-	loads       map[Endpoint]*agentLoad
-	scarceSlots int // largest number of slots at which the score is the expected wait, 0: never
+	zone  string
+	loads map[Endpoint]*agentLoad
 }
 
 // NewPlacement returns a placement for an entry in the zone.
@@ -73,14 +71,16 @@
 	return &Placement{zone: zone, loads: map[Endpoint]*agentLoad{}}
 }
 
-// SetScarceSlots sets the largest number of slots of an agent at which its score is the
-// expected wait; 0 means never.
-func (p *Placement) SetScarceSlots(n int) { p.scarceSlots = n }
-
-// Report records the load that an agent reported. Only some reports carry a service time.
+// Report records the load that an agent reported. Only some reports carry a service time:
+// the last one holds until its expiry.
 func (p *Placement) Report(now time.Time, agent Endpoint, l Load) {
 	a := p.load(agent)
-	a.recordServiceTime(now, &l)
+	switch {
+	case l.ServiceTime > 0:
+		a.serviceTimeAt = now
+	case now.Sub(a.serviceTimeAt) < ReportTTL:
+		l.ServiceTime = a.report.ServiceTime
+	}
 	a.report, a.reportedAt, a.openings = l, now, 0
 }
 
@@ -134,9 +134,7 @@
 		}
 	}
 	if ok {
-		chosen := p.load(agent.Addr)
-		chosen.openings++
-		chosen.sinceThen++
+		p.load(agent.Addr).openings++
 	}
 	return agent, ok
 }
@@ -149,13 +147,12 @@
 		hash := k.Hash()
 		step := max(1, len(agents)/sampleSize)
 		none := true
-		median := p.medianServiceTime(now, agents)
 		for i := int(hash % uint64(step)); i < len(agents); i += step {
 			if contains(tried, agents[i].Addr) {
 				continue
 			}
 			none = false
-			if !yield(&agents[i], p.score(now, &agents[i], hash, median)) {
+			if !yield(&agents[i], p.score(now, &agents[i], hash)) {
 				return
 			}
 		}
@@ -163,7 +160,7 @@
 			return
 		}
 		if i := slices.IndexFunc(agents, func(a Agent) bool { return !contains(tried, a.Addr) }); i >= 0 {
-			yield(&agents[i], p.score(now, &agents[i], hash, median))
+			yield(&agents[i], p.score(now, &agents[i], hash))
 		}
 	}
 }
@@ -171,7 +168,7 @@
 // avoidPenalty exceeds the score of any agent that is not avoided.
 const avoidPenalty = 1e6
 
-func (p *Placement) score(now time.Time, a *Agent, hash uint64, median time.Duration) float64 {
+func (p *Placement) score(now time.Time, a *Agent, hash uint64) float64 {
 	l := p.known(a.Addr)
 	busy := baseLoad + newFlowLoad*float64(l.openings)
 	failureRate := 0.0
@@ -179,9 +176,6 @@
 		busy += l.report.Busy
 		failureRate = l.report.FailureRate
 	}
-	if median > 0 && a.Slots <= p.scarceSlots {
-		busy = expectedWait(now, &l, median)
-	}
 	// The jitter depends on the flow, so that entries with the same reports choose
 	// different agents for different flows.
 	jitter := 1 + float64(rank(hash, a.Addr)%256)/256*scoreJitter
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -58,7 +58,6 @@
 	e.router.SetPaused(e.pause.Paused)
 	e.router.SetJoined(false)
 	e.router.SetDisrupted(s.Disrupted())
-	e.router.placement.SetScarceSlots(s.ScarceSlots)
 	if s.Hedge != nil {
 		e.router.SetHedging(s.Hedge.Share)
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -181,9 +181,6 @@
 	}
 	for i := range entryCount {
 		specific := map[string]any{"fabric": f.addr(kindEntry, i, portCallers).String()}
-		if o.entryScarce {
-			specific["scarceSlots"] = scarceSlots
-		}
 		if o.hedge {
 			specific["hedge"] = map[string]any{"share": hedgeShare}
 		}
--- a/internal/soak/scarce_test.go
+++ b/internal/soak/scarce_test.go
@@ -35,7 +35,7 @@
 )
 
 // options are the settings that a seed turns on or off.
-type options struct{ agentScarce, entryScarce, hedge, checkUpstream bool }
+type options struct{ agentScarce, hedge, checkUpstream bool }
 
 // optionStream selects the random sequence of the options, which is separate from that of
 // the faults, so that seeds keep their faults. With 895 the seeds of CI cover both ways:
@@ -45,7 +45,10 @@
 func drawOptions(seed uint64) options {
 	r := rand.New(rand.NewPCG(seed, optionStream))
 	draw := func() bool { return r.IntN(2) == 0 }
-	return options{agentScarce: draw(), entryScarce: draw(), hedge: draw(), checkUpstream: draw()}
+	o := options{agentScarce: draw()}
+	draw() // of an option that is no more, so that seeds keep the others
+	o.hedge, o.checkUpstream = draw(), draw()
+	return o
 }
 
 // class is a class of callers that open a flow for each request.
