Publish the end of an upstream before its last answers are sent

The agent answers queries about such flows itself, so it publishes the end at once.

TestFlowOfASuccessorIsNotResetByAnOlderView has this case and fails before.

--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -44,8 +44,8 @@
 	Slots       uint16         `cbor:"10,keyasint"` // agent: number of requests that its upstream runs concurrently
 	Connections uint32         `cbor:"11,keyasint"` // agent: number of flows that its upstream supports
 	Boot        uint64         `cbor:"12,keyasint"` // Incarnation at the start; owner tokens contain its low bits
-	// NoUpstream reports that no upstream is running on the agent's instance, so that the
-	// agent owns no flow.
+	// NoUpstream reports that no upstream is running on the agent's instance. The agent owns
+	// no flow then, or denies it within a round trip when asked.
 	NoUpstream bool `cbor:"13,keyasint,omitempty"`
 }
 
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -458,6 +458,14 @@
 // that has not received the agent's new record yet. That entry left the agent out of its
 // search, and all others denied the flow: it was reset (soak seed 896044).
 func TestFlowOfASuccessorIsNotResetByAnOlderView(t *testing.T) {
+	for name, answering := range map[string]bool{"idle": false, "a last answer was on its way": true} {
+		t.Run(name, func(t *testing.T) { testFlowOfASuccessor(t, answering) })
+	}
+}
+
+// testFlowOfASuccessor lets the upstream end, with answering right after a request on one of
+// its flows.
+func testFlowOfASuccessor(t *testing.T, answering bool) {
 	is := is.New(t)
 	sim := newSimulation(t.Fatalf, 3, 4)
 	sim.advance(5 * time.Second)
@@ -471,10 +479,14 @@
 			other.tracker.Drain()
 		}
 	}
+	if answering {
+		sim.request(sim.open(1000, routeA, func() *simEntry { return sim.entries[0] }), sim.entries[0])
+	}
 	last := a.tracker.Last()
 	a.tracker.Announce(sim.now, flow.Announcement{ID: last.ID, Ended: true, StartMillis: last.StartMillis})
+	is.Equal(len(a.tracker.ending) > 0, answering)
+	a.upstream.down = true
 	a.upstream = sim.newUpstream()
-	sim.advance(tickPeriod)
 	sim.syncViews()
 	behind := sim.entries[1]
 	behind.behind = true
--- a/internal/passthrough/upstream_check.go
+++ b/internal/passthrough/upstream_check.go
@@ -152,10 +152,9 @@
 }
 
 // withoutUpstream reports whether no upstream is running, by the last check or since it
-// announced its end, so that this agent owns no flow.
-func (t *Tracker) withoutUpstream() bool {
-	return t.refused || t.upstream.Last().Ended && len(t.ending) == 0
-}
+// announced its end, so that this agent owns no flow but those whose last answers are on
+// their way.
+func (t *Tracker) withoutUpstream() bool { return t.refused || t.upstream.Last().Ended }
 
 // upstreamAnnounced reports whether the upstream has announced itself to this process.
 func (t *Tracker) upstreamAnnounced() bool { return t.upstream.Last().StartMillis != 0 }
