Count requests on a port in use again, and publish the latest record

Found by reading: a flow on a port that its caller had closed and uses again kept the former sequence numbers and end, so its requests were not counted as busy; and two goroutines that publish an agent's record could apply the older one last, which would leave NoUpstream set while an upstream runs. The record is now read when the update is applied.

TestRequestOnAPortInUseAgainHoldsASlot fails before.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -231,7 +231,10 @@
 	}
 	a.deps.Log.Info("record", "state", record.State.String(), "slots", record.Slots, "no_upstream", record.NoUpstream)
 	a.fleet.Update(func(r *membership.Record) {
-		r.State, r.Slots, r.NoUpstream = record.State, record.Slots, record.NoUpstream
+		// The latest state, since updates of several goroutines may be applied in any order.
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		r.State, r.Slots, r.NoUpstream = a.published.State, a.published.Slots, a.published.NoUpstream
 	})
 }
 
--- a/internal/passthrough/request_count_test.go
+++ b/internal/passthrough/request_count_test.go
@@ -93,3 +93,23 @@
 	b.pass(time.Second)
 	is.Equal(b.tracker.FailureRate(), 0.0)
 }
+
+// A caller that uses a port again starts at another sequence number, which may be lower.
+// Its requests must count, and the former end must not.
+func TestRequestOnAPortInUseAgainHoldsASlot(t *testing.T) {
+	is := is.New(t)
+	b := newRoomBench(0, 2)
+	b.open(1, flow.PurposeOpen, unsafe)
+	b.answer(1, 1|16, 0)
+	b.sent[roomKey(1)] = 1 << 20
+	b.request(1, 16, 120)
+	b.answer(1, 16, 100)
+	b.request(1, 16|64, 0)
+	b.sent[roomKey(1)] = 0
+	b.open(1, flow.PurposeOpen, unsafe)
+	b.answer(1, 1|16, 0)
+	b.request(1, 16, 120)
+	is.Equal(b.tracker.Busy(), 1)
+	b.answer(1, 16, 100)
+	is.Equal(b.tracker.Busy(), 0)
+}
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -332,6 +332,9 @@
 	return true
 }
 
+// reopen forgets the sequence numbers and the end of the flow before this one.
+func (f *trackedFlow) reopen() { f.closed, f.requested, f.upstreamEnd = false, false, 0 }
+
 // recordAnswer reports whether the upstream's packet belongs to an answer: it carries data,
 // or it is the end of the flow and has overtaken data.
 func (f *trackedFlow) recordAnswer(s *flow.Segment) bool {
@@ -389,6 +392,9 @@
 func (t *Tracker) openFlow(now time.Time, k flow.Key, f *trackedFlow, from flow.Endpoint, meta flow.Metadata, copies uint32, packet []byte) {
 	if f != nil && f.state != trackedProbing && f.state != trackedAbandoned {
 		f.entry, f.lastSeen = from, now
+		if f.closed {
+			f.reopen() // the caller uses the port again
+		}
 		if f.state == trackedOpen {
 			t.sendOwned(k, f)
 		}
