--- a/internal/flow/admission.go
+++ b/internal/flow/admission.go
@@ -65,8 +65,8 @@
 	Flows          int
 	Limits         Limits
 	AllowBusy      bool // no other agent accepts the flow: a busy upstream is no reason to refuse it
-	// Room is set for an upstream with few slots. Then it decides with the class whether
-	// the upstream is busy, instead of Busy, Slots and AllowBusy.
+	// Room is set where openings wait for free capacity. Then it decides with the class
+	// whether the upstream is busy, instead of Busy, Slots and AllowBusy.
 	Room  *Room
 	Class Class
 }
--- a/internal/passthrough/place.go
+++ b/internal/passthrough/place.go
@@ -74,8 +74,8 @@
 		}
 	}
 	if !ok && last == flow.RefusalBusy && !f.offeredBusy {
-		// All are busy: offer the flow to the one with the lowest score. It accepts the
-		// flow, or keeps it waiting for a short time where slots are scarce.
+		// All are busy: offer the flow to the one with the lowest score. It keeps the
+		// opening waiting for free capacity, or accepts it where openings do not wait.
 		purpose = flow.PurposeOpenBusy
 		agent, ok = r.placement.Choose(now, k, agents, nil)
 	}
--- a/internal/passthrough/search.go
+++ b/internal/passthrough/search.go
@@ -160,7 +160,7 @@
 // unansweredAgents returns the agents whose denials a reset of the flow waits for.
 func (r *Router) unansweredAgents(now time.Time, f *routedFlow) []flow.Endpoint {
 	return slices.DeleteFunc(r.agentsWithoutReply(f), func(a flow.Endpoint) bool {
-		return r.isWithoutUpstream(f, a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
+		return r.needsNoReply(f, a) || r.isUnresponsive(now, a) || r.isOutOfReach(now, f, a)
 	})
 }
 
@@ -169,7 +169,7 @@
 func (r *Router) missingReplies(k flow.Key, f *routedFlow) int {
 	n := f.queried - f.denials()
 	for _, agent := range r.view.OwnerAddrs {
-		if (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) && r.isWithoutUpstream(f, agent) {
+		if (f.queriedAll || r.routeHasService(k, r.view.Owners[agent].Service)) && r.needsNoReply(f, agent) {
 			n--
 		}
 	}
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -407,7 +407,7 @@
 	t.serveWaiting(now)
 	reason := t.admit(now, meta)
 	switch {
-	case reason == flow.RefusalBusy && meta.Purpose == flow.PurposeOpenBusy: // only where slots are scarce
+	case reason == flow.RefusalBusy && meta.Purpose == flow.PurposeOpenBusy: // only where openings wait
 		t.wait(now, flow.WaitingOpening{Key: k, Meta: meta, Entry: from, Packet: bytes.Clone(packet), Copies: copies, Since: now})
 	case reason != flow.RefusalNone:
 		t.Observe(Decision{Kind: DecisionReject, Reason: reason.String(), Key: k, Agent: from})
--- a/internal/passthrough/tracker_waiting.go
+++ b/internal/passthrough/tracker_waiting.go
@@ -13,8 +13,8 @@
 // answer any more.
 const waitingAbandoned = "abandoned"
 
-// scarce reports whether the upstream has so few slots that new flows are admitted by
-// their expected wait.
+// scarce reports whether the upstream has so few slots that openings wait here for free
+// capacity.
 func (t *Tracker) scarce() bool {
 	slots := t.upstream.Last().Slots
 	return slots >= 1 && slots <= t.ScarceSlots
--- a/internal/passthrough/unresponsive.go
+++ b/internal/passthrough/unresponsive.go
@@ -91,9 +91,9 @@
 	return !o.Announced && (o.NoUpstream || known && o.Incarnation == incarnation)
 }
 
-// isWithoutUpstream reports whether the agent is not waited for in the search of the flow,
+// needsNoReply reports whether the agent is not waited for in the search of the flow,
 // since no upstream is running there. An answer to this search counts more: the record
 // may be older.
-func (r *Router) isWithoutUpstream(f *routedFlow, agent flow.Endpoint) bool {
+func (r *Router) needsNoReply(f *routedFlow, agent flow.Endpoint) bool {
 	return f.replyIndex(agent) < 0 && r.hasNoUpstream(agent)
 }
