Keep a pause in effect until its consequences are applied

Cause: PauseDetector.Beat cleared the pause before its caller had expired the upstream's lease, so a request that waited for the end of the pause ran in between on a lease that had ended (TestSuspendedAgentRunsNothingOnItsLease, 200 instead of 503: a fault of the agent, not of the test's announcer). The passed-through agent and entry had the same window, and the entry a second one: the time of the last verification counted until the fleet's loop had handled the pause, and the clock had stood still.

Ruled out: an announcement after the suspension. It renews the lease, and the next beat shortens it by the length of the pause.

Change: Beat calls a function with the length of the pause and clears the pause when that has returned; VerifiedAt is zero from Resume on.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -229,17 +229,13 @@
 // tick expires the upstream's lease and the return paths, and publishes the state.
 func (l *loop) tick() {
 	now := time.Now()
-	if gap := l.agent.deps.Pause.Beat(); gap > 0 {
+	l.agent.deps.Pause.Beat(func(gap time.Duration) {
 		// The clock may have stood still during the pause.
 		l.leaseUntil = l.leaseUntil.Add(-gap)
 		l.agent.deps.Log.Warn("resumed after a pause", "paused_ms", gap.Milliseconds())
-	}
-	if l.hasUpstream() && now.After(l.leaseUntil) {
-		what := fmt.Sprintf("upstream %s %s to absent", l.upstream.Address, l.upstream.stateName())
-		l.recordUpstreamEvent(what, "its lease expired")
-		l.upstream = Announcement{}
-		l.announceToEngine()
-	}
+		l.expireLease(now)
+	})
+	l.expireLease(now)
 	if now.Sub(l.pathsExpiredAt) >= pathExpireInterval {
 		l.pathsExpiredAt = now
 		l.agent.socket.paths.expire(now)
@@ -247,6 +243,17 @@
 	l.publish()
 }
 
+// expireLease removes the upstream if its lease has expired.
+func (l *loop) expireLease(now time.Time) {
+	if !l.hasUpstream() || !now.After(l.leaseUntil) {
+		return
+	}
+	what := fmt.Sprintf("upstream %s %s to absent", l.upstream.Address, l.upstream.stateName())
+	l.recordUpstreamEvent(what, "its lease expired")
+	l.upstream = Announcement{}
+	l.announceToEngine()
+}
+
 // recordUpstreamEvent records a change of state under the service's name.
 func (l *loop) recordUpstreamEvent(what, why string) {
 	l.recordEvent(explain.SubjectUpstream, l.pinnedService, what, why)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -281,10 +281,10 @@
 func (n *Node) ConfigProblems() []config.Problem { return *n.problems.Load() }
 
 // VerifiedAt returns the last time at which the configuration in force was verified
-// as the store's latest; zero when there is none.
+// as the store's latest; zero when there is none, as after a pause.
 func (n *Node) VerifiedAt() time.Time {
 	at := n.verifiedNanos.Load()
-	if at == 0 {
+	if at == 0 || n.resuming.Load() {
 		return time.Time{}
 	}
 	return n.started.Add(time.Duration(at))
@@ -354,6 +354,7 @@
 	n.enqueue(func(now time.Time) {
 		n.core.Resume(now)
 		n.awaitingEntry.Store(n.core.AwaitingEntry(now))
+		n.publishVerifiedAt()
 		n.resuming.Store(false)
 	})
 }
--- a/internal/fleet/verified_test.go
+++ b/internal/fleet/verified_test.go
@@ -66,3 +66,25 @@
 		is.Equal(n.VerifiedAt().UnixNano(), now.UnixNano())
 	})
 }
+
+// The clock stands still while an instance is suspended, so what was verified before looks
+// as recent as ever. An entry that took it for verified until the loop had handled the
+// pause would reset a flow to an address that was added meanwhile.
+func TestNothingIsVerifiedOnceAPauseIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := idleNode(t)
+		defer n.closeSockets()
+		time.Sleep(time.Second)
+		now := time.Now()
+		n.core.MarkVerified(now, now, 3)
+		n.publishVerifiedAt()
+		is.Equal(n.VerifiedAt(), now)
+		go n.Resume()
+		synctest.Wait()
+		is.True(n.VerifiedAt().IsZero()) // the loop has not handled it yet
+		(<-n.commands)(now)
+		is.True(n.VerifiedAt().IsZero())
+		synctest.Wait()
+	})
+}
--- a/internal/lifecycle/pause.go
+++ b/internal/lifecycle/pause.go
@@ -31,19 +31,19 @@
 	return d
 }
 
-// Beat must be called regularly. It returns the time since the last beat if the process
-// was paused, and 0 otherwise.
-func (d *PauseDetector) Beat() time.Duration {
+// Beat must be called regularly, by one goroutine. If the process was paused since the
+// last beat, it calls apply with the time since then. Paused reports true until apply has
+// returned, so that nobody acts meanwhile on what apply revokes.
+func (d *PauseDetector) Beat(apply func(gap time.Duration)) {
 	now := int64(d.now())
-	gap := time.Duration(now - d.last.Swap(now))
-	if gap < PauseThreshold {
-		return 0
+	if gap := time.Duration(now - d.last.Load()); gap >= PauseThreshold {
+		apply(gap)
 	}
-	return gap
+	d.last.Store(now) // as read before apply, which a further pause may have interrupted
 }
 
-// Paused reports whether the process was paused since the last beat, so that the beat
-// that will notice it has not come yet.
+// Paused reports whether the process was paused since the last beat, and no beat has
+// applied the consequences yet.
 func (d *PauseDetector) Paused() bool {
 	return int64(d.now())-d.last.Load() >= int64(PauseThreshold)
 }
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -289,12 +289,13 @@
 }
 
 func (a *Agent) tick(now time.Time) {
-	paused := a.checkPause()
-	a.mu.Lock()
-	if paused {
+	a.checkPause(func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
 		// An upstream may have started meanwhile. now may be from before the pause.
 		a.tracker.SetUpstreamRefused(time.Now(), false)
-	}
+	})
+	a.mu.Lock()
 	a.tracker.Tick(now)
 	a.mu.Unlock()
 	a.publishUpstream(now)
--- a/internal/passthrough/base.go
+++ b/internal/passthrough/base.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -55,16 +56,17 @@
 	})
 }
 
-// checkPause reports whether the process was paused, and makes the fleet node renew what
-// it believes then.
-func (s *base) checkPause() (paused bool) {
-	gap := s.pause.Beat()
-	if gap > 0 {
+// checkPause makes the fleet node renew what it believes if the process was paused. apply,
+// unless it is nil, then revokes what else the pause has made doubtful.
+func (s *base) checkPause(apply func()) {
+	s.pause.Beat(func(gap time.Duration) {
 		s.counters.pauses.Inc()
 		s.deps.Log.Warn("resumed after a pause", "paused_ms", gap.Milliseconds())
 		s.fleet.Resume()
-	}
-	return gap > 0
+		if apply != nil {
+			apply()
+		}
+	})
 }
 
 func (s *base) countReadError() { s.counters.countDropped(dropRead) }
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -185,7 +185,7 @@
 }
 
 func (e *Entry) tick(now time.Time) {
-	e.checkPause()
+	e.checkPause(nil)
 	verifiedAt := e.fleet.VerifiedAt()
 	current := e.fleet.Config() // read after verifiedAt, so at least as new as the configuration it refers to
 	e.mu.Lock()
