Record open flows in the store and reset those that ended while they are idle

Cause: when all machines lose power, nobody knows the flows that callers keep open. Each is found dead by the next request on it; one that must not be repeated fails.

Change: entries report the flows of routes with non-idempotent requests, with the caller's last acknowledgement, to one entry of their group, which records them in the store (package checkpoint, setting checkpointFlows). After a start an entry reads its flows, asks all agents about them (package orphan) and resets those that all deny. The same proof is asked for flows of agents that have restarted, of which entries know without the store. A caller drops an idle flow at a reset: with the record the requests above do not fail.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -15,6 +15,7 @@
 	KindZone    = "zone"
 	KindKeys    = "keys"
 	KindRoster  = "roster"
+	KindFlows   = "flows" // checkpoints of the flows of each entry, see package checkpoint
 	KindRoutes  = "routes"
 	KindPool    = "pool"
 	KindZoneOut = "zone-out"
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -144,6 +144,13 @@
 	Passthrough
 	// Fabric is the UDP address where packets of callers arrive.
 	Fabric netip.AddrPort `json:"fabric" validate:"required,hostport4"`
+	// CheckpointFlows is the largest number of open flows of routes with non-idempotent
+	// requests that the entry has recorded in the store, so that those that end in a loss
+	// of power can be reset before their callers use them. 0 means none.
+	CheckpointFlows int `json:"checkpointFlows,omitempty" validate:"gte=0,lte=48000"`
+	// CheckpointGroups is the number of groups of entries, each with an object in the
+	// store that holds up to 48,000 flows. It is the same at all entries; 0 means one.
+	CheckpointGroups int `json:"checkpointGroups,omitempty" validate:"gte=0,lte=10000"`
 	// Hedge allows opening packets to be offered to a second agent. Without it there
 	// are no hedges.
 	Hedge *Hedge `json:"hedge,omitempty"`
--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -33,6 +33,7 @@
 	PurposeToken Purpose = iota
 	PurposeDatagram
 	PurposeControl
+	PurposeCheckpoint
 	purposeCount
 )
 
@@ -76,7 +77,7 @@
 
 func derive(secret [SecretSize]byte) (*derivedKeys, error) {
 	d := &derivedKeys{}
-	labels := [purposeCount]string{"token", "datagram", "control"}
+	labels := [purposeCount]string{"token", "datagram", "control", "checkpoint"}
 	for p, label := range labels {
 		raw, err := hkdf.Key(sha256.New, secret[:], nil, "crocusnotch "+label, macKeySize)
 		if err != nil {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -33,8 +33,9 @@
 		if err != nil {
 			return nil, err
 		}
+		store := platform.NewClient(shared.Store, r)
 		process, services, err := open(passthrough.Deps{
-			Log: log, Registry: r, Codec: platform.Codec{}, Store: platform.NewClient(shared.Store, r),
+			Log: log, Registry: r, Codec: platform.Codec{}, Store: store, Checkpoints: store,
 		})
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/orphan/verifier.go
@@ -0,0 +1,225 @@
+// Package orphan finds out which of the flows that may have lost their upstream have lost
+// it, without a packet of their callers: each agent that could hold a flow is asked, and
+// only the denial of all of them is a proof. It does no I/O; callers pass in the time.
+package orphan
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+
+	"crocusnotch/internal/checkpoint"
+	"crocusnotch/internal/flow"
+)
+
+const (
+	// repeatInterval is the time after which agents that have not answered are asked
+	// again.
+	repeatInterval = 300 * time.Millisecond
+	// candidateTTL is how long a flow waits for its proof. Its caller has used or closed
+	// it by then, or will find out by its next request.
+	candidateTTL = 10 * time.Second
+	// maxDatagrams bounds the queries in a tick, each with a reply: a third of what fills a
+	// link of 10 Mbit/s in 25 ms.
+	maxDatagrams = 80
+)
+
+// Agents is what an entry knows of the agents when it calls Tick.
+type Agents struct {
+	All       []flow.Endpoint          // that may own flows
+	NeedReply func(flow.Endpoint) bool // false for agents that are known to own none
+	Settled   bool                     // All is complete
+	StartedAt time.Time                // when the last new or restarted agent was added
+}
+
+// Query asks an agent whether it owns the flows.
+type Query struct {
+	Agent flow.Endpoint
+	Keys  []flow.Key
+}
+
+// Orphan is a flow that no agent owned at any time after Since.
+type Orphan struct {
+	checkpoint.Flow
+	Since time.Time
+}
+
+// candidate is a flow that waits to be asked about.
+type candidate struct {
+	checkpoint.Flow
+	addedAt time.Time
+}
+
+// batch is a group of flows that all agents are asked about at once.
+type batch struct {
+	flows     map[flow.Key]candidate
+	answered  map[flow.Endpoint]bool // agents that denied them all
+	startedAt time.Time              // when the agents were first asked
+	askedAt   time.Time              // when the agents without an answer were last asked
+}
+
+// Verifier asks about candidates in batches. It is not safe for concurrent use. Use New.
+type Verifier struct {
+	batchSize int
+	waiting   map[flow.Key]candidate
+	batches   []*batch
+}
+
+// New returns a verifier that asks about batchSize flows in a query.
+func New(batchSize int) *Verifier {
+	return &Verifier{batchSize: batchSize, waiting: map[flow.Key]candidate{}}
+}
+
+// Add adds a flow that may have lost its upstream, unless it waits for its proof already.
+func (v *Verifier) Add(now time.Time, f checkpoint.Flow) {
+	if v.find(f.Key) == nil {
+		v.waiting[f.Key] = candidate{Flow: f, addedAt: now}
+	}
+}
+
+// Len returns the number of flows that wait for their proof.
+func (v *Verifier) Len() int {
+	n := len(v.waiting)
+	for _, b := range v.batches {
+		n += len(b.flows)
+	}
+	return n
+}
+
+// find returns the batch that contains the flow, or nil.
+func (v *Verifier) find(k flow.Key) *batch {
+	for _, b := range v.batches {
+		if _, ok := b.flows[k]; ok {
+			return b
+		}
+	}
+	return nil
+}
+
+// Denied handles an answer in which an agent denies that it owns the flows. It counts for
+// a batch if it denies all that are left of it: an answer to a query about other flows
+// may name a few of them too.
+func (v *Verifier) Denied(agent flow.Endpoint, keys []flow.Key) {
+	denied := make(map[flow.Key]bool, len(keys))
+	for _, k := range keys {
+		denied[k] = true
+	}
+	for _, b := range v.batches {
+		if !b.answered[agent] && b.allDenied(denied) {
+			b.answered[agent] = true
+		}
+	}
+}
+
+func (b *batch) allDenied(denied map[flow.Key]bool) bool {
+	for k := range b.flows {
+		if !denied[k] {
+			return false
+		}
+	}
+	return true
+}
+
+// Drop removes a flow, since an agent may own it.
+func (v *Verifier) Drop(k flow.Key) {
+	delete(v.waiting, k)
+	for _, b := range v.batches {
+		delete(b.flows, k)
+	}
+}
+
+// Tick returns the flows that are proved to have no owner and the queries to send.
+func (v *Verifier) Tick(now time.Time, a Agents) (orphans []Orphan, queries []Query) {
+	if !a.Settled {
+		return nil, nil
+	}
+	open := v.batches[:0]
+	for _, b := range v.batches {
+		if !b.startedAt.After(a.StartedAt) {
+			v.putBack(b) // an agent that was not asked may own them
+			continue
+		}
+		missing := b.unanswered(a)
+		switch {
+		case len(missing) == 0 && len(a.All) > 0:
+			orphans = append(orphans, b.orphans()...)
+		case b.expired(now): // or empty
+		default:
+			open = append(open, b)
+			if now.Sub(b.askedAt) >= repeatInterval {
+				b.askedAt = now
+				queries = b.appendQueries(queries, missing)
+			}
+		}
+	}
+	clear(v.batches[len(open):])
+	v.batches = open
+	return orphans, v.startBatches(now, a, queries)
+}
+
+// startBatches asks about as many waiting flows as the limit on datagrams allows, one batch
+// at least.
+func (v *Verifier) startBatches(now time.Time, a Agents, queries []Query) []Query {
+	maps.DeleteFunc(v.waiting, func(_ flow.Key, c candidate) bool { return now.Sub(c.addedAt) > candidateTTL })
+	if len(v.waiting) == 0 || len(a.All) == 0 || len(queries) > 0 && len(queries)+len(a.All) > maxDatagrams {
+		return queries
+	}
+	keys := slices.SortedFunc(maps.Keys(v.waiting), compareKeys)
+	for keys := range slices.Chunk(keys, v.batchSize) {
+		b := &batch{flows: map[flow.Key]candidate{}, answered: map[flow.Endpoint]bool{}, startedAt: now, askedAt: now}
+		for _, k := range keys {
+			b.flows[k] = v.waiting[k]
+			delete(v.waiting, k)
+		}
+		v.batches = append(v.batches, b)
+		queries = b.appendQueries(queries, b.unanswered(a))
+		if len(queries)+len(a.All) > maxDatagrams {
+			break
+		}
+	}
+	return queries
+}
+
+// putBack lets the flows of a batch wait to be asked about once more.
+func (v *Verifier) putBack(b *batch) { maps.Copy(v.waiting, b.flows) }
+
+// unanswered returns the agents whose answers are missing.
+func (b *batch) unanswered(a Agents) []flow.Endpoint {
+	var out []flow.Endpoint
+	for _, agent := range a.All {
+		if !b.answered[agent] && a.NeedReply(agent) {
+			out = append(out, agent)
+		}
+	}
+	return out
+}
+
+func (b *batch) expired(now time.Time) bool {
+	for _, c := range b.flows {
+		if now.Sub(c.addedAt) <= candidateTTL {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *batch) keys() []flow.Key { return slices.SortedFunc(maps.Keys(b.flows), compareKeys) }
+
+func (b *batch) orphans() []Orphan {
+	var out []Orphan
+	for _, k := range b.keys() {
+		out = append(out, Orphan{Flow: b.flows[k].Flow, Since: b.startedAt})
+	}
+	return out
+}
+
+func (b *batch) appendQueries(queries []Query, agents []flow.Endpoint) []Query {
+	keys := b.keys()
+	for _, agent := range agents {
+		queries = append(queries, Query{Agent: agent, Keys: keys})
+	}
+	return queries
+}
+
+func compareKeys(a, b flow.Key) int { return bytes.Compare(a[:], b[:]) }
--- a/internal/passthrough/codec.go
+++ b/internal/passthrough/codec.go
@@ -53,6 +53,7 @@
 	DecisionReset    = "reset"     // a flow without an owner is reset
 	DecisionMoved    = "moved"     // the owner no longer holds the flow
 	DecisionSettled  = "settled"   // the set of agents counts as complete; Tries is the number of new ones, Age the time without another
+	DecisionOrphan   = "orphan"    // an idle flow has lost its owner, by the answers of all agents
 	DecisionHedge    = "hedge"     // an opening is offered to a second agent, or the outcome of that
 )
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -43,6 +43,8 @@
 	started  time.Time
 	router   *Router // guarded by mu
 	ready    atomic.Bool
+	// checkpointer is nil unless the settings ask for checkpoints of flows.
+	checkpointer *checkpointer
 	// withoutAgents is the number of services whose only agents are in zones out of service.
 	withoutAgents atomic.Int64
 }
@@ -61,6 +63,9 @@
 	if s.Hedge != nil {
 		e.router.SetHedging(s.Hedge.Share)
 	}
+	if s.CheckpointFlows > 0 && d.Checkpoints != nil {
+		e.checkpointer = newCheckpointer(e)
+	}
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.gauge("resets_waiting", "Flows without an owner that wait for their reset.", func() float64 { return float64(e.router.resets.waiting()) })
 	e.counters.gauge("services_without_agents", "Services whose only agents are in zones out of service.", func() float64 {
@@ -140,6 +145,9 @@
 		tick:  e.tick,
 		drain: e.drain,
 	}
+	if e.checkpointer != nil {
+		r.loops = append(r.loops, e.checkpointer.run)
+	}
 	return r.run(ctx)
 }
 
@@ -174,6 +182,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if m.Kind == KindOpenFlows {
+		if e.checkpointer != nil {
+			e.checkpointer.receive(time.Now(), flow.EndpointOf(from), m.Flows)
+		}
+		return
+	}
 	e.router.Message(time.Now(), flow.EndpointOf(from), &m)
 }
 
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"crocusnotch/internal/checkpoint"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/keyring"
 )
@@ -31,7 +32,8 @@
 	KindProbeRelay Kind = 11 // entry to an agent: probe a flow here and at other agents
 	KindProbe      Kind = 12 // a relayed probe
 	KindAbandon    Kind = 13 // entry to an agent: the caller opened the flow at another agent
-	kindLimit      Kind = 14
+	KindOpenFlows  Kind = 14 // entry to the writer of its group: open flows for the checkpoint
+	kindLimit      Kind = 15
 )
 
 // Layout of a message in bytes.
@@ -56,6 +58,7 @@
 	probeMetaSize    = 5  // purpose and service tag, before the packet of a probe
 	agentCountSize   = 1  // precedes the agents of KindProbeRelay
 	maxRegistrations = 60 // keeps the datagram below 1,200 bytes
+	maxReportedFlows = 70 // keeps the datagram below 1,200 bytes
 	maxQueries       = 80 // keeps the query and its reply below 1,200 bytes
 	busyScale        = 100
 	failureRateScale = 10_000
@@ -81,6 +84,7 @@
 	// KindProbe.
 	Meta   flow.Metadata
 	Agents []flow.Endpoint // that the receiver sends the probe to, in KindProbeRelay
+	Flows  []checkpoint.Flow
 }
 
 // Registration is one flow and its owner.
@@ -128,6 +132,7 @@
 	for _, k := range m.Queries {
 		b = append(b, k[:]...)
 	}
+	b = checkpoint.AppendFlows(b, m.Flows)
 	for _, a := range m.Answers {
 		b = append(b, a.Key[:]...)
 		b = append(b, byte(a.Holding))
@@ -196,6 +201,13 @@
 		rest = rest[serviceTimeSize:]
 	case m.Kind == KindProbeRelay || m.Kind == KindProbe:
 		return m.decodeProbe(rest)
+	case m.Kind == KindOpenFlows:
+		flows, err := checkpoint.DecodeFlows(rest)
+		if err != nil {
+			return ErrMalformed
+		}
+		m.Flows = flows
+		return nil
 	}
 	size := itemSize(m.Kind)
 	if size == 0 {
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -24,6 +24,7 @@
 	hedges    *prometheus.CounterVec
 
 	upstreamChecks *prometheus.CounterVec
+	checkpoints    *prometheus.CounterVec
 }
 
 // latencyBuckets range from the latency of a hop inside a zone to the longest
@@ -42,10 +43,11 @@
 			Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "pauses_total",
 			Help: "Pauses of a second or more in which the process did not run.",
 		}),
+		checkpoints:    telemetry.CounterVec(subsystem, "checkpoints_total", "Reads and writes of the checkpoint of flows, by outcome.", "outcome"),
 		upstreamChecks: telemetry.CounterVec(subsystem, "upstream_checks_total", "Checks whether an upstream is running, by result.", "result"),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.upstreamChecks, c.hedges)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.upstreamChecks, c.hedges, c.checkpoints)
 	}
 	return c
 }
--- a/internal/passthrough/node.go
+++ b/internal/passthrough/node.go
@@ -75,6 +75,8 @@
 	Registry *prometheus.Registry
 	Codec    Codec
 	Store    fleet.Store
+	// Checkpoints keeps the checkpoints of flows; nil means that there are none.
+	Checkpoints CheckpointStore
 	// Pause detects pauses of the process; nil means with the clock of the system.
 	Pause *lifecycle.PauseDetector
 	// Fleet is the fleet node; nil means a new one made from the settings.
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -10,6 +10,7 @@
 	"crocusnotch/internal/config"
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/membership"
+	"crocusnotch/internal/orphan"
 )
 
 const (
@@ -188,6 +189,7 @@
 	resets               resetPacer
 	startedAt            time.Time // when the first opening packet arrived
 	heldOpenings         heldOpenings
+	orphans              *orphan.Verifier
 	hedger               *hedger // nil: no hedges
 	searchesInTick       int     // searches that queried agents since the last tick
 	lookupsInTick        int     // queries to replicas since the last tick
@@ -218,6 +220,7 @@
 		unanswered:           unansweredQueries{},
 		withoutUpstream:      withoutUpstream{},
 		heldOpenings:         heldOpenings{},
+		orphans:              orphan.New(maxQueries),
 		out:                  out,
 		observe:              observe,
 		paused:               func() bool { return false },
@@ -250,6 +253,7 @@
 func (r *Router) SetView(now time.Time, v *View) {
 	entriesChanged := !slices.Equal(r.view.Entries, v.Entries)
 	r.recordStartedAgents(now, v)
+	r.verifyRestarted(now, v)
 	r.view = v
 	r.setResetRate()
 	r.placeHeldOpenings(now)
@@ -352,6 +356,7 @@
 func (r *Router) Message(now time.Time, from flow.Endpoint, m *Message) {
 	r.unanswered.heard(from)
 	r.recordDenial(from, m)
+	r.handleOrphanReply(from, m)
 	switch m.Kind {
 	case KindOwned:
 		r.handleOwned(now, from, m)
@@ -406,6 +411,7 @@
 	}
 	r.hedgeOpenings(now)
 	r.resetUnowned(now)
+	r.resetOrphans(now)
 	r.placeHeldOpenings(now)
 	r.flushRegistrations()
 	r.flushQueries(now)
