--- a/internal/checkpoint/schedule.go
+++ b/internal/checkpoint/schedule.go
@@ -23,6 +23,9 @@
 	// write lacks from which another one is worth its call.
 	minMissing      = 4
 	minMissingShare = 0.05
+	// anyMissingAfter is the time from the last write after which a single missing flow is
+	// worth another one.
+	anyMissingAfter = 10 * time.Second
 	// maxAckDrift is the number of bytes after which the acknowledgement number of a flow
 	// is written again: a caller accepts a reset within 76,800 bytes of its last one.
 	maxAckDrift = 38_400
@@ -59,6 +62,9 @@
 		return false
 	}
 	missing := s.missing(c)
+	if now.Sub(s.attemptedAt) >= anyMissingAfter {
+		return missing > 0
+	}
 	return missing >= minMissing && float64(missing) >= minMissingShare*float64(c.Len())
 }
 
--- a/internal/checkpoint/schedule_test.go
+++ b/internal/checkpoint/schedule_test.go
@@ -61,7 +61,7 @@
 	flows := testFlows(100)
 	s.Attempted(start, 2000)
 	s.Written(checkpointOf(flows))
-	now := start.Add(time.Minute)
+	now := start.Add(5 * time.Second)
 	for i := range flows {
 		flows[i].Ack += maxAckDrift
 	}
@@ -72,6 +72,21 @@
 	is.True(s.Due(now, checkpointOf(flows), 18))
 }
 
+// A fleet with a few flows, or with one new flow a minute, has them recorded too.
+func TestSingleFlowsAreWrittenLater(t *testing.T) {
+	is := is.New(t)
+	var s Schedule
+	s.SetWriter(start, true)
+	now := start.Add(time.Minute)
+	is.True(!s.Due(now, checkpointOf(nil), 2))
+	is.True(s.Due(now, checkpointOf(testFlows(1)), 2)) // never written before
+	s.Attempted(now, 100)
+	s.Written(checkpointOf(testFlows(1)))
+	is.True(!s.Due(now.Add(anyMissingAfter), checkpointOf(testFlows(1)), 2))
+	is.True(!s.Due(now.Add(anyMissingAfter-1), checkpointOf(testFlows(2)), 2))
+	is.True(s.Due(now.Add(anyMissingAfter), checkpointOf(testFlows(2)), 2))
+}
+
 // A failed write is not repeated at once: the store may be down or slow.
 func TestFailedWriteKeepsItsDistance(t *testing.T) {
 	is := is.New(t)
--- a/internal/passthrough/checkpoint.go
+++ b/internal/passthrough/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 	"crocusnotch/internal/flow"
 	"crocusnotch/internal/lifecycle"
 	"crocusnotch/internal/platform"
+	"crocusnotch/internal/wire"
 )
 
 const (
@@ -57,9 +59,15 @@
 	groups   int
 	revision uint64 // of the object, 0 if it does not exist
 
-	reportAt  time.Time // when the next report is due
-	schedule  checkpoint.Schedule
-	collector checkpoint.Collector // guarded by the entry's mu
+	reportAt time.Time // when the next report is due
+	schedule checkpoint.Schedule
+
+	// Guarded by the entry's mu.
+	collector  checkpoint.Collector
+	reportedTo flow.Endpoint // the writer of the group
+	reportedAt time.Time
+	writtenAt  time.Time // when this entry last wrote the checkpoint
+	flows      int       // in it
 }
 
 func newCheckpointer(e *Entry) *checkpointer {
@@ -145,6 +153,7 @@
 	}
 	if !writer {
 		c.collector.Clear()
+		c.writtenAt, c.flows = time.Time{}, 0
 	}
 	recorded := c.collector.Checkpoint(now)
 	c.entry.mu.Unlock()
@@ -156,15 +165,32 @@
 
 // report reports the flows to the writer of the group, which is the first member.
 func (c *checkpointer) report(now time.Time, members []flow.Endpoint, flows []checkpoint.Flow) {
-	switch {
-	case len(members) == 0:
-	case members[0] == c.self:
+	if len(members) == 0 {
+		return
+	}
+	c.reportedTo, c.reportedAt = members[0], now
+	if members[0] == c.self {
 		c.collector.Report(now, c.self, flows)
+		return
+	}
+	for part := range slices.Chunk(flows, maxReportedFlows) {
+		c.entry.SendMessage(members[0], &Message{Kind: KindOpenFlows, Flows: part})
+	}
+}
+
+// status returns what the entry does for the checkpoint and when it last did. The entry's
+// mu must be held.
+func (c *checkpointer) status() wire.Observation {
+	o := wire.Observation{Subject: "checkpoint of flows"}
+	switch {
+	case c.reportedAt.IsZero():
+		o.Value, o.AgeMillis = "not reported yet", ageMillis(c.reportedAt)
+	case c.reportedTo == c.self:
+		o.Value, o.AgeMillis = fmt.Sprintf("%s, writer, %d flows", c.id().Name, c.flows), ageMillis(c.writtenAt)
 	default:
-		for part := range slices.Chunk(flows, maxReportedFlows) {
-			c.entry.SendMessage(members[0], &Message{Kind: KindOpenFlows, Flows: part})
-		}
+		o.Value, o.AgeMillis = fmt.Sprintf("%s, reported to %s", c.id().Name, c.reportedTo), ageMillis(c.reportedAt)
 	}
+	return o
 }
 
 // receive records a report of another member. The entry's mu must be held.
@@ -186,6 +212,9 @@
 	}
 	c.schedule.Written(recorded)
 	c.count(checkpointWritten)
+	c.entry.mu.Lock()
+	c.writtenAt, c.flows = now, recorded.Len()
+	c.entry.mu.Unlock()
 }
 
 // replace writes the object. After a conflict it takes over the current revision.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -65,6 +65,7 @@
 	}
 	if s.CheckpointFlows > 0 && d.Checkpoints != nil {
 		e.checkpointer = newCheckpointer(e)
+		e.gauge("checkpoint_flows", "Flows in the checkpoint that this entry wrote last, 0 unless it writes one.", func() float64 { return float64(e.checkpointer.flows) })
 	}
 	e.gauge("flows", "Flows that are known, also as a home.", func() float64 { return float64(e.router.Flows()) })
 	e.gauge("resets_waiting", "Flows without an owner that wait for their reset.", func() float64 { return float64(e.router.resets.waiting()) })
@@ -106,6 +107,9 @@
 		wire.Observation{Subject: "agents that take flows", Value: strconv.Itoa(agents), AgeMillis: ageMillis(e.router.joins.Last())},
 		wire.Observation{Subject: "flows", Value: strconv.Itoa(e.router.Flows())},
 	)
+	if e.checkpointer != nil {
+		s.Observations = append(s.Observations, e.checkpointer.status())
+	}
 	for zone := range v.Fleet.ZonesOut {
 		s.Observations = append(s.Observations, wire.Observation{Subject: "zone out", Value: zone, AgeMillis: ageMillis(verifiedAt)})
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// powerLossStream selects the random sequence of injectPowerLoss.
+const powerLossStream = 3
+
+// injectPowerLoss ends all processes and all upstreams once in a run, so that nobody knows
+// the open flows. Its random sequence is its own, so that seeds keep their other faults.
+func (f *fleet) injectPowerLoss(seed uint64, length time.Duration) {
+	r := rand.New(rand.NewPCG(seed, powerLossStream))
+	time.Sleep(time.Duration(r.Int64N(int64(length))))
+	f.faults.begin()
+	defer f.faults.end()
+	for _, p := range f.processes() {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, a := range f.agents {
+		a.mu.Lock()
+		a.stopUpstream()
+		a.mu.Unlock()
+	}
+	time.Sleep(time.Duration(200+r.IntN(1500)) * time.Millisecond)
+	for _, a := range f.agents {
+		a.restartUpstream()
+	}
+	for _, p := range f.processes() {
+		p.wait(startTimeout)
+		f.must(p.start(f.bin))
+	}
+}
+
 func (f *fleet) pauseProcess(r *rand.Rand) {
 	f.faults.begin()
 	defer f.faults.end()
@@ -294,6 +322,7 @@
 	}
 	if !planned {
 		running.Go(func() { f.injectRestores(seed, length) })
+		running.Go(func() { f.injectPowerLoss(seed, length) })
 	}
 	load := startScarceLoad(f, seed)
 	f.injectFaults(r, length, planned)
