Wait for killed processes before the pause of a power loss in the soak

Cause: the other faults start some of the killed processes again during the pause, and waiting for the exit of these took 20 s each.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -146,12 +146,14 @@
 		a.stopUpstream()
 		a.mu.Unlock()
 	}
+	for _, p := range f.processes() {
+		p.wait(startTimeout) // before other faults start some of them again
+	}
 	time.Sleep(time.Duration(200+r.IntN(1500)) * time.Millisecond)
 	for _, a := range f.agents {
 		a.restartUpstream()
 	}
 	for _, p := range f.processes() {
-		p.wait(startTimeout)
 		f.must(p.start(f.bin))
 	}
 }
