Bound the queries about idle flows in a tick, and keep reports of large entries

A batch asked all agents in one tick, 2,000 datagrams at 2,000 agents; an entry with 12,000 flows reports each 43 s, and its flows left the checkpoint after 3.5 s; above 2,048 agents the queries had no limit at all.

Change: queries wait in a queue and at most 80 leave in a tick; the lifetime of a reported flow follows from the interval of its reports; above 2,048 agents no proof is sought, as in searches.

Figures: TestQueriesOfATickAreBounded (6, 49 and 500 agents, 1,000 flows proved within 5 s), TestFlowsOfALargeMemberStayUntilItsNextReports and TestNoProofIsSoughtInAHugeFleet fail before. Fleets of up to 80 agents send the same queries as before.

--- a/internal/checkpoint/group.go
+++ b/internal/checkpoint/group.go
@@ -35,9 +35,9 @@
 
 func writerRank(e flow.Endpoint) uint64 { return xxhash.Sum64String("checkpoint writer " + e.String()) }
 
-// reportTTL is how long a flow stays in the checkpoint after its entry has last reported
-// it: two reports may be lost.
-const reportTTL = 3*ReportInterval + ReportInterval/2
+// reportTTL returns how long the flows of a member that has reported so many stay in the
+// checkpoint after their last report: two reports may be lost.
+func reportTTL(flows int) time.Duration { return 7 * ReportAfter(flows) / 2 }
 
 // reportedFlow is a flow as a member last reported it.
 type reportedFlow struct {
@@ -71,7 +71,8 @@
 	out := Checkpoint{Written: now}
 	for _, member := range slices.SortedFunc(maps.Keys(c.members), flow.Endpoint.Compare) {
 		known := c.members[member]
-		maps.DeleteFunc(known, func(_ flow.Key, f reportedFlow) bool { return now.Sub(f.at) > reportTTL })
+		ttl := reportTTL(len(known))
+		maps.DeleteFunc(known, func(_ flow.Key, f reportedFlow) bool { return now.Sub(f.at) > ttl })
 		if len(known) == 0 {
 			delete(c.members, member)
 			continue
--- a/internal/checkpoint/group_test.go
+++ b/internal/checkpoint/group_test.go
@@ -57,6 +57,16 @@
 	is.Equal(len(c.members), 0)
 }
 
+// A member with many flows reports them more rarely.
+func TestFlowsOfALargeMemberStayUntilItsNextReports(t *testing.T) {
+	is := is.New(t)
+	var c Collector
+	flows := testFlows(12_000)
+	c.Report(start, entryAddr(1), flows)
+	recorded := c.Checkpoint(start.Add(3 * ReportAfter(len(flows))))
+	is.Equal(recorded.Len(), len(flows))
+}
+
 func TestLaterAcknowledgementIsRecorded(t *testing.T) {
 	is := is.New(t)
 	var c Collector
--- a/internal/orphan/verifier.go
+++ b/internal/orphan/verifier.go
@@ -20,8 +20,8 @@
 	// candidateTTL is how long a flow waits for its proof. Its caller has used or closed
 	// it by then, or will find out by its next request.
 	candidateTTL = 10 * time.Second
-	// maxDatagrams bounds the queries in a tick, each with a reply: a third of what fills a
-	// link of 10 Mbit/s in 25 ms.
+	// maxDatagrams is the largest number of queries in a tick, each with a reply: a third of
+	// what fills a link of 10 Mbit/s in 25 ms.
 	maxDatagrams = 80
 )
 
@@ -37,6 +37,7 @@
 type Query struct {
 	Agent flow.Endpoint
 	Keys  []flow.Key
+	batch *batch
 }
 
 // Orphan is a flow that no agent owned at any time after Since.
@@ -64,6 +65,7 @@
 	batchSize int
 	waiting   map[flow.Key]candidate
 	batches   []*batch
+	queries   []Query // not sent yet
 }
 
 // New returns a verifier that asks about batchSize flows in a query.
@@ -87,6 +89,9 @@
 	return n
 }
 
+// Clear removes all flows.
+func (v *Verifier) Clear() { *v = *New(v.batchSize) }
+
 // find returns the batch that contains the flow, or nil.
 func (v *Verifier) find(k flow.Key) *batch {
 	for _, b := range v.batches {
@@ -131,58 +136,75 @@
 
 // Tick returns the flows that are proved to have no owner and the queries to send.
 func (v *Verifier) Tick(now time.Time, a Agents) (orphans []Orphan, queries []Query) {
-	if !a.Settled {
+	if !a.Settled || len(a.All) == 0 {
 		return nil, nil
 	}
-	open := v.batches[:0]
-	for _, b := range v.batches {
-		if !b.startedAt.After(a.StartedAt) {
-			v.putBack(b) // an agent that was not asked may own them
-			continue
-		}
-		missing := b.unanswered(a)
+	orphans = v.conclude(now, a)
+	if len(v.queries) == 0 {
+		v.repeatQueries(now, a)
+		v.startBatches(now, a)
+	}
+	n := min(len(v.queries), maxDatagrams)
+	queries, v.queries = v.queries[:n], v.queries[n:]
+	for _, q := range queries {
+		q.batch.askedAt = now
+	}
+	return orphans, queries
+}
+
+// conclude removes the batches that all agents have answered, or that expire, and returns
+// their orphans.
+func (v *Verifier) conclude(now time.Time, a Agents) (orphans []Orphan) {
+	v.batches = slices.DeleteFunc(v.batches, func(b *batch) bool {
 		switch {
-		case len(missing) == 0 && len(a.All) > 0:
-			orphans = append(orphans, b.orphans()...)
+		case !b.startedAt.After(a.StartedAt):
+			maps.Copy(v.waiting, b.flows) // an agent that was not asked may own them
+			return true
 		case b.expired(now): // or empty
-		default:
-			open = append(open, b)
-			if now.Sub(b.askedAt) >= repeatInterval {
-				b.askedAt = now
-				queries = b.appendQueries(queries, missing)
-			}
+			return true
+		case len(b.unanswered(a)) > 0:
+			return false
+		}
+		orphans = append(orphans, b.orphans()...)
+		return true
+	})
+	v.queries = slices.DeleteFunc(v.queries, func(q Query) bool { return !slices.Contains(v.batches, q.batch) })
+	return orphans
+}
+
+func (v *Verifier) repeatQueries(now time.Time, a Agents) {
+	for _, b := range v.batches {
+		if now.Sub(b.askedAt) >= repeatInterval {
+			v.ask(b, a)
 		}
 	}
-	clear(v.batches[len(open):])
-	v.batches = open
-	return orphans, v.startBatches(now, a, queries)
 }
 
-// startBatches asks about as many waiting flows as the limit on datagrams allows, one batch
-// at least.
-func (v *Verifier) startBatches(now time.Time, a Agents, queries []Query) []Query {
+// startBatches asks about as many waiting flows as fit into a tick, one batch at least.
+func (v *Verifier) startBatches(now time.Time, a Agents) {
 	maps.DeleteFunc(v.waiting, func(_ flow.Key, c candidate) bool { return now.Sub(c.addedAt) > candidateTTL })
-	if len(v.waiting) == 0 || len(a.All) == 0 || len(queries) > 0 && len(queries)+len(a.All) > maxDatagrams {
-		return queries
-	}
 	keys := slices.SortedFunc(maps.Keys(v.waiting), compareKeys)
 	for keys := range slices.Chunk(keys, v.batchSize) {
-		b := &batch{flows: map[flow.Key]candidate{}, answered: map[flow.Endpoint]bool{}, startedAt: now, askedAt: now}
+		if len(v.queries) > 0 && len(v.queries)+len(a.All) > maxDatagrams {
+			break
+		}
+		b := &batch{flows: map[flow.Key]candidate{}, answered: map[flow.Endpoint]bool{}, startedAt: now}
 		for _, k := range keys {
 			b.flows[k] = v.waiting[k]
 			delete(v.waiting, k)
 		}
 		v.batches = append(v.batches, b)
-		queries = b.appendQueries(queries, b.unanswered(a))
-		if len(queries)+len(a.All) > maxDatagrams {
-			break
-		}
+		v.ask(b, a)
 	}
-	return queries
 }
 
-// putBack lets the flows of a batch wait to be asked about once more.
-func (v *Verifier) putBack(b *batch) { maps.Copy(v.waiting, b.flows) }
+// ask queues queries to the agents that have not answered about the batch.
+func (v *Verifier) ask(b *batch, a Agents) {
+	keys := b.keys()
+	for _, agent := range b.unanswered(a) {
+		v.queries = append(v.queries, Query{Agent: agent, Keys: keys, batch: b})
+	}
+}
 
 // unanswered returns the agents whose answers are missing.
 func (b *batch) unanswered(a Agents) []flow.Endpoint {
@@ -214,12 +236,4 @@
 	return out
 }
 
-func (b *batch) appendQueries(queries []Query, agents []flow.Endpoint) []Query {
-	keys := b.keys()
-	for _, agent := range agents {
-		queries = append(queries, Query{Agent: agent, Keys: keys})
-	}
-	return queries
-}
-
 func compareKeys(a, b flow.Key) int { return bytes.Compare(a[:], b[:]) }
--- a/internal/orphan/verifier_test.go
+++ b/internal/orphan/verifier_test.go
@@ -142,22 +142,25 @@
 
 // The return of a whole fleet must not fill the links of small entries with queries.
 func TestQueriesOfATickAreBounded(t *testing.T) {
-	is := is.New(t)
-	v, a, now := New(80), testAgents(49), start.Add(time.Second)
-	for i := range 1000 {
-		v.Add(now, testFlow(i))
-	}
-	asked := 0
-	for range 20 {
-		_, queries := v.Tick(now, a)
-		is.True(len(queries) <= maxDatagrams+len(a.All))
-		for _, q := range queries {
-			is.True(len(q.Keys) <= 80)
+	for _, agents := range []int{6, 49, 500} {
+		is := is.New(t)
+		v, a, now := New(80), testAgents(agents), start.Add(time.Second)
+		for i := range 1000 {
+			v.Add(now, testFlow(i))
 		}
-		asked += len(queries)
-		now = now.Add(tick)
+		orphans := 0
+		for range 200 {
+			concluded, queries := v.Tick(now, a)
+			orphans += len(concluded)
+			is.True(len(queries) <= maxDatagrams)
+			for _, q := range queries {
+				is.True(len(q.Keys) <= 80)
+				v.Denied(q.Agent, q.Keys)
+			}
+			now = now.Add(tick)
+		}
+		is.Equal(orphans, 1000) // within five seconds
 	}
-	is.True(asked >= 13*49) // all flows within the time
 }
 
 // A flow whose proof does not come, as while an agent stays away, is given up: the caller
--- a/internal/passthrough/orphans.go
+++ b/internal/passthrough/orphans.go
@@ -87,6 +87,10 @@
 	if r.orphans.Len() == 0 {
 		return
 	}
+	if len(r.view.OwnerAddrs) > searchProofLimit {
+		r.orphans.Clear() // no flow is reset without the denial of all agents
+		return
+	}
 	orphans, queries := r.orphans.Tick(now, orphan.Agents{
 		All:       r.view.OwnerAddrs,
 		NeedReply: func(a flow.Endpoint) bool { return !r.hasNoUpstream(a) && !r.isUnresponsive(now, a) },
--- a/internal/passthrough/stale_pool_test.go
+++ b/internal/passthrough/stale_pool_test.go
@@ -211,3 +211,23 @@
 	r.resetOrphan(sim.now, &o)
 	is.True(c.reset)
 }
+
+// Above searchProofLimit agents a proof would take too many queries: the flows are left to
+// their next packets, and not kept.
+func TestNoProofIsSoughtInAHugeFleet(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t.Fatalf, 1, 6)
+	sim.advance(time.Second)
+	sim.pool(10)
+	recorded := sim.openFlows()
+	sim.losePower()
+	sim.verifyFlows(recorded)
+	r := sim.entries[0].router
+	is.Equal(r.orphans.Len(), 10)
+	for i := range searchProofLimit {
+		r.view.OwnerAddrs = append(r.view.OwnerAddrs, flow.EndpointOf(addrOf(8, i)))
+	}
+	r.resetOrphans(sim.now)
+	is.Equal(r.orphans.Len(), 0)
+	is.Equal(len(sim.queue), 0)
+}
