Build the checkpoint once per report, and name queries of orphans as such

Cause: read-through. The writer sorted all recorded flows four times a second under the entry's lock, also while no write was due; answers to queries were sorted into slices although no flow waited for its proof.

--- a/internal/orphan/verifier.go
+++ b/internal/orphan/verifier.go
@@ -1,5 +1,5 @@
 // Package orphan finds out which of the flows that may have lost their upstream have lost
-// it, without a packet of their callers: each agent that could hold a flow is asked, and
+// it, without a packet of their callers: each agent that could hold a flow is queried, and
 // only the denial of all of them is a proof. It does no I/O; callers pass in the time.
 package orphan
 
@@ -14,8 +14,8 @@
 )
 
 const (
-	// repeatInterval is the time after which agents that have not answered are asked
-	// again.
+	// repeatInterval is the time after which agents that have not answered are
+	// queried again.
 	repeatInterval = 300 * time.Millisecond
 	// candidateTTL is how long a flow waits for its proof. Its caller has used or closed
 	// it by then, or will find out by its next request.
@@ -33,7 +33,7 @@
 	StartedAt time.Time                // when the last new or restarted agent was added
 }
 
-// Query asks an agent whether it owns the flows.
+// Query is a query to an agent whether it owns the flows.
 type Query struct {
 	Agent flow.Endpoint
 	Keys  []flow.Key
@@ -46,21 +46,21 @@
 	Since time.Time
 }
 
-// candidate is a flow that waits to be asked about.
+// candidate is a flow that waits for its batch.
 type candidate struct {
 	checkpoint.Flow
 	addedAt time.Time
 }
 
-// batch is a group of flows that all agents are asked about at once.
+// batch is a group of flows about which all agents are queried at once.
 type batch struct {
 	flows     map[flow.Key]candidate
 	answered  map[flow.Endpoint]bool // agents that denied them all
-	startedAt time.Time              // when the agents were first asked
-	askedAt   time.Time              // when the agents without an answer were last asked
+	startedAt time.Time              // when the agents were first queried
+	queriedAt time.Time              // when the agents without an answer were last queried
 }
 
-// Verifier asks about candidates in batches. It is not safe for concurrent use. Use New.
+// Verifier queries agents about candidates in batches. It is not safe for concurrent use. Use New.
 type Verifier struct {
 	batchSize int
 	waiting   map[flow.Key]candidate
@@ -68,7 +68,7 @@
 	queries   []Query // not sent yet
 }
 
-// New returns a verifier that asks about batchSize flows in a query.
+// New returns a verifier with batchSize flows in a query.
 func New(batchSize int) *Verifier {
 	return &Verifier{batchSize: batchSize, waiting: map[flow.Key]candidate{}}
 }
@@ -147,7 +147,7 @@
 	n := min(len(v.queries), maxDatagrams)
 	queries, v.queries = v.queries[:n], v.queries[n:]
 	for _, q := range queries {
-		q.batch.askedAt = now
+		q.batch.queriedAt = now
 	}
 	return orphans, queries
 }
@@ -158,7 +158,7 @@
 	v.batches = slices.DeleteFunc(v.batches, func(b *batch) bool {
 		switch {
 		case !b.startedAt.After(a.StartedAt):
-			maps.Copy(v.waiting, b.flows) // an agent that was not asked may own them
+			maps.Copy(v.waiting, b.flows) // an agent that was not queried may own them
 			return true
 		case b.expired(now): // or empty
 			return true
@@ -174,13 +174,13 @@
 
 func (v *Verifier) repeatQueries(now time.Time, a Agents) {
 	for _, b := range v.batches {
-		if now.Sub(b.askedAt) >= repeatInterval {
-			v.ask(b, a)
+		if now.Sub(b.queriedAt) >= repeatInterval {
+			v.enqueue(b, a)
 		}
 	}
 }
 
-// startBatches asks about as many waiting flows as fit into a tick, one batch at least.
+// startBatches forms batches of as many waiting flows as fit into a tick, one at least.
 func (v *Verifier) startBatches(now time.Time, a Agents) {
 	maps.DeleteFunc(v.waiting, func(_ flow.Key, c candidate) bool { return now.Sub(c.addedAt) > candidateTTL })
 	keys := slices.SortedFunc(maps.Keys(v.waiting), compareKeys)
@@ -194,12 +194,12 @@
 			delete(v.waiting, k)
 		}
 		v.batches = append(v.batches, b)
-		v.ask(b, a)
+		v.enqueue(b, a)
 	}
 }
 
-// ask queues queries to the agents that have not answered about the batch.
-func (v *Verifier) ask(b *batch, a Agents) {
+// enqueue queues queries to the agents that have not answered about the batch.
+func (v *Verifier) enqueue(b *batch, a Agents) {
 	keys := b.keys()
 	for _, agent := range b.unanswered(a) {
 		v.queries = append(v.queries, Query{Agent: agent, Keys: keys, batch: b})
--- a/internal/passthrough/checkpoint.go
+++ b/internal/passthrough/checkpoint.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	// checkpointPoll is the interval at which an entry checks whether a report or a write
-	// is due.
+	// checkpointPoll is the interval at which an entry checks whether a report is due.
 	checkpointPoll = 250 * time.Millisecond
 	// checkpointReadInterval is the mean time between two tries to read the checkpoint
 	// after a start.
@@ -140,22 +139,25 @@
 	return nil
 }
 
-// poll reports the open flows to the writer of the group or, at the writer, records those
-// of all members.
+// poll reports the open flows to the writer of the group when it is time. The writer then
+// records those of all members if they are worth a call.
 func (c *checkpointer) poll(ctx context.Context, now time.Time) {
+	if now.Before(c.reportAt) {
+		return
+	}
 	c.entry.mu.Lock()
 	members := checkpoint.MembersOf(c.group, c.groups, c.entry.router.view.Entries)
-	writer := len(members) > 0 && members[0] == c.self
-	if !now.Before(c.reportAt) {
-		flows := c.entry.router.OpenFlows(c.entry.settings.CheckpointFlows)
-		c.reportAt = now.Add(checkpoint.ReportAfter(len(flows)))
-		c.report(now, members, flows)
-	}
-	if !writer {
+	flows := c.entry.router.OpenFlows(c.entry.settings.CheckpointFlows)
+	c.reportAt = now.Add(checkpoint.ReportAfter(len(flows)))
+	c.report(now, members, flows)
+	var recorded checkpoint.Checkpoint
+	writer := c.reportedTo == c.self
+	if writer {
+		recorded = c.collector.Checkpoint(now)
+	} else {
 		c.collector.Clear()
 		c.writtenAt, c.flows = time.Time{}, 0
 	}
-	recorded := c.collector.Checkpoint(now)
 	c.entry.mu.Unlock()
 	c.schedule.SetWriter(now, writer)
 	if c.schedule.Due(now, &recorded, len(members)) {
--- a/internal/passthrough/orphans.go
+++ b/internal/passthrough/orphans.go
@@ -64,6 +64,9 @@
 
 // handleOrphanReply passes what an agent answered about flows to the verifier.
 func (r *Router) handleOrphanReply(from flow.Endpoint, m *Message) {
+	if r.orphans.Len() == 0 {
+		return
+	}
 	switch m.Kind {
 	case KindQueryReply:
 		denied := make([]flow.Key, 0, len(m.Answers))
@@ -80,7 +83,7 @@
 	}
 }
 
-// resetOrphans asks agents about flows that may have lost their upstream, and resets those
+// resetOrphans queries agents about flows that may have lost their upstream, and resets those
 // that have no owner. Their callers are idle, so that the resets need no pace: no request
 // follows at once.
 func (r *Router) resetOrphans(now time.Time) {
@@ -107,7 +110,7 @@
 }
 
 // resetOrphan resets a flow that no agent owns, unless its caller has sent a packet since
-// the agents were asked: the flow may have been opened again, or is searched for.
+// the agents were queried: the flow may have been opened again, or is searched for.
 func (r *Router) resetOrphan(now time.Time, o *orphan.Orphan) {
 	f := r.flows[o.Key]
 	if f != nil && (f.lastSeen.After(o.Since) || f.state != stateOwned && f.state != stateUnknown) {
