--- a/internal/orphan/verifier.go
+++ b/internal/orphan/verifier.go
@@ -29,8 +29,11 @@
 type Agents struct {
 	All       []flow.Endpoint          // that may own flows
 	NeedReply func(flow.Endpoint) bool // false for agents that are known to own none
-	Settled   bool                     // All is complete
-	StartedAt time.Time                // when the last new or restarted agent was added
+	// Near reports whether queries to the agent are cheap. The others are queried once the
+	// near ones have denied a batch: where upstreams live, an early answer ends the attempt.
+	Near      func(flow.Endpoint) bool
+	Settled   bool      // All is complete
+	StartedAt time.Time // when the last new or restarted agent was added
 }
 
 // Query is a query to an agent whether it owns the flows.
@@ -58,6 +61,7 @@
 	answered  map[flow.Endpoint]bool // agents that denied them all
 	startedAt time.Time              // when the agents were first queried
 	queriedAt time.Time              // when the agents without an answer were last queried
+	nearDone  bool                   // the near agents have denied them, and all are queried
 }
 
 // Verifier queries agents about candidates in batches. It is not safe for concurrent use. Use New.
@@ -162,7 +166,7 @@
 			return true
 		case b.expired(now): // or empty
 			return true
-		case len(b.unanswered(a)) > 0:
+		case len(b.missing(a, false)) > 0:
 			return false
 		}
 		orphans = append(orphans, b.orphans()...)
@@ -174,7 +178,9 @@
 
 func (v *Verifier) repeatQueries(now time.Time, a Agents) {
 	for _, b := range v.batches {
-		if now.Sub(b.queriedAt) >= repeatInterval {
+		nearDone := b.nearDone || len(b.missing(a, true)) == 0
+		if nearDone != b.nearDone || now.Sub(b.queriedAt) >= repeatInterval {
+			b.nearDone = nearDone
 			v.enqueue(b, a)
 		}
 	}
@@ -189,6 +195,7 @@
 			break
 		}
 		b := &batch{flows: map[flow.Key]candidate{}, answered: map[flow.Endpoint]bool{}, startedAt: now}
+		b.nearDone = len(b.missing(a, true)) == 0
 		for _, k := range keys {
 			b.flows[k] = v.waiting[k]
 			delete(v.waiting, k)
@@ -198,19 +205,20 @@
 	}
 }
 
-// enqueue queues queries to the agents that have not answered about the batch.
+// enqueue queues queries to the agents that have not answered about the batch, only the
+// near ones at first.
 func (v *Verifier) enqueue(b *batch, a Agents) {
 	keys := b.keys()
-	for _, agent := range b.unanswered(a) {
+	for _, agent := range b.missing(a, !b.nearDone) {
 		v.queries = append(v.queries, Query{Agent: agent, Keys: keys, batch: b})
 	}
 }
 
-// unanswered returns the agents whose answers are missing.
-func (b *batch) unanswered(a Agents) []flow.Endpoint {
+// missing returns the agents, or only the near ones, whose answers are missing.
+func (b *batch) missing(a Agents, near bool) []flow.Endpoint {
 	var out []flow.Endpoint
 	for _, agent := range a.All {
-		if !b.answered[agent] && a.NeedReply(agent) {
+		if !b.answered[agent] && a.NeedReply(agent) && (!near || a.Near(agent)) {
 			out = append(out, agent)
 		}
 	}
--- a/internal/orphan/verifier_test.go
+++ b/internal/orphan/verifier_test.go
@@ -27,7 +27,7 @@
 }
 
 func testAgents(n int) Agents {
-	a := Agents{Settled: true, StartedAt: start, NeedReply: func(flow.Endpoint) bool { return true }}
+	a := Agents{Settled: true, StartedAt: start, NeedReply: func(flow.Endpoint) bool { return true }, Near: func(flow.Endpoint) bool { return true }}
 	for i := range n {
 		a.All = append(a.All, agentAddr(i))
 	}
@@ -127,6 +127,30 @@
 	is.Equal(len(again), 3)
 }
 
+// After all processes were killed while the upstreams live, each agent answers that it may
+// hold the flows: queries to all zones would be for nothing, and are billed.
+func TestDistantAgentsAreQueriedAfterTheNearOnes(t *testing.T) {
+	is := is.New(t)
+	v, a, now := New(80), testAgents(4), start.Add(time.Second)
+	a.Near = func(agent flow.Endpoint) bool { return agent == agentAddr(0) || agent == agentAddr(1) }
+	queries := verify(v, now, a, testFlow(1), testFlow(2))
+	is.Equal(len(queries), 2)
+	v.Drop(testFlow(1).Key)
+	v.Denied(agentAddr(0), queries[0].Keys)
+	_, more := v.Tick(now.Add(tick), a)
+	is.Equal(len(more), 0)
+	v.Denied(agentAddr(1), queries[0].Keys)
+	orphans, more := v.Tick(now.Add(2*tick), a)
+	is.Equal(len(orphans), 0)
+	is.Equal(len(more), 2) // at once
+	is.Equal(more[0].Keys, []flow.Key{testFlow(2).Key})
+	for _, q := range more {
+		v.Denied(q.Agent, q.Keys)
+	}
+	orphans, _ = v.Tick(now.Add(3*tick), a)
+	is.Equal(len(orphans), 1)
+}
+
 // Agents on which no upstream runs vanish again after a loss of power; no proof waits for
 // them.
 func TestAgentsWithoutAnUpstreamNeedNotAnswer(t *testing.T) {
@@ -183,6 +207,8 @@
 func TestOrphansAreDeniedByAllAgents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v, a, now := New(rapid.IntRange(1, 4).Draw(t, "batch")), testAgents(rapid.IntRange(1, 4).Draw(t, "agents")), start.Add(time.Second)
+		near := rapid.IntRange(0, 4).Draw(t, "near")
+		a.Near = func(agent flow.Endpoint) bool { return slices.Index(a.All, agent) < near }
 		incarnation := map[flow.Endpoint]int{}
 		owner := map[flow.Key]flow.Endpoint{}
 		denied := map[flow.Key]map[flow.Endpoint]int{} // incarnation that denied the flow last
--- a/internal/passthrough/orphans.go
+++ b/internal/passthrough/orphans.go
@@ -97,6 +97,7 @@
 	orphans, queries := r.orphans.Tick(now, orphan.Agents{
 		All:       r.view.OwnerAddrs,
 		NeedReply: func(a flow.Endpoint) bool { return !r.hasNoUpstream(a) && !r.isUnresponsive(now, a) },
+		Near:      func(a flow.Endpoint) bool { return r.view.Owners[a].Zone == r.zone },
 		Settled:   r.agentsSettled(now),
 		StartedAt: r.agentStartedAt,
 	})
