Look at open flows after a new view only when an agent has restarted

Cause: read-through. Each new view walked over all flows of an entry to find those of restarted agents, also when none had restarted; views change every 20 ms at times.

Change: the restarted agents are determined first. The flows that are added are the same (stale_pool_test.go, TestFleetKeepsFlows pass).

--- a/internal/passthrough/orphans.go
+++ b/internal/passthrough/orphans.go
@@ -50,13 +50,18 @@
 // verifyRestarted adds the flows of agents that have restarted: the upstream beside the
 // agent may have ended with it.
 func (r *Router) verifyRestarted(now time.Time, v *View) {
-	for k, f := range r.flows {
-		if f.state != stateOwned || f.resetSeq == 0 {
-			continue
+	restarted := map[flow.Endpoint]bool{}
+	for agent, after := range v.Owners {
+		before, known := r.view.Owners[agent]
+		if known && before.Incarnation != after.Incarnation {
+			restarted[agent] = true
 		}
-		before, known := r.view.Owners[f.owner]
-		after, still := v.Owners[f.owner]
-		if known && still && before.Incarnation != after.Incarnation {
+	}
+	if len(restarted) == 0 {
+		return // as with most views
+	}
+	for k, f := range r.flows {
+		if f.state == stateOwned && f.resetSeq != 0 && restarted[f.owner] {
 			r.orphans.Add(now, checkpoint.Flow{Key: k, Ack: f.resetSeq})
 		}
 	}
