Wait in the soak for the killed instances themselves in a loss of power

The agents' logs show no announcement for 20 s. injectPowerLoss had stopped the upstreams and waited for the exit of processes that another fault had started again between its signal and its wait: a fault of the check, not of the product.

Change: a process is killed and its exit awaited by instance.

--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// kill kills the running instance of the process. The channel is closed when that instance
+// has exited, whether or not another one was started meanwhile.
+func (p *process) kill() (exited <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running() {
+		_ = p.cmd.Process.Kill()
+	}
+	return p.done
+}
+
 // wait reports whether the process exited within the limit.
 func (p *process) wait(limit time.Duration) bool {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -138,16 +138,17 @@
 	time.Sleep(time.Duration(r.Int64N(int64(length))))
 	f.faults.begin()
 	defer f.faults.end()
+	var exits []<-chan struct{}
 	for _, p := range f.processes() {
-		p.signal(syscall.SIGKILL)
+		exits = append(exits, p.kill())
 	}
 	for _, a := range f.agents {
 		a.mu.Lock()
 		a.stopUpstream()
 		a.mu.Unlock()
 	}
-	for _, p := range f.processes() {
-		p.wait(startTimeout) // before other faults start some of them again
+	for _, exited := range exits {
+		<-exited
 	}
 	time.Sleep(time.Duration(200+r.IntN(1500)) * time.Millisecond)
 	for _, a := range f.agents {
