--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -83,8 +83,8 @@
 	// Meta is the purpose and the service tag of the packet, in KindProbeRelay and
 	// KindProbe.
 	Meta   flow.Metadata
-	Agents []flow.Endpoint // that the receiver sends the probe to, in KindProbeRelay
-	Flows  []checkpoint.Flow
+	Agents []flow.Endpoint   // that the receiver sends the probe to, in KindProbeRelay
+	Flows  []checkpoint.Flow // open flows of the sender, in KindOpenFlows
 }
 
 // Registration is one flow and its owner.
