Give flow keys a Compare method in place of three comparisons of their bytes

Cause: read-through. passthrough, orphan and checkpoint each sorted flow keys by a comparison of their own.

Change: flow.Key.Compare, as flow.Endpoint has one; the order is the same.

--- a/internal/checkpoint/group.go
+++ b/internal/checkpoint/group.go
@@ -1,7 +1,6 @@
 package checkpoint
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -78,7 +77,7 @@
 			continue
 		}
 		m := Member{Entry: member}
-		for _, k := range slices.SortedFunc(maps.Keys(known), func(a, b flow.Key) int { return bytes.Compare(a[:], b[:]) }) {
+		for _, k := range slices.SortedFunc(maps.Keys(known), flow.Key.Compare) {
 			m.Flows = append(m.Flows, Flow{Key: k, Ack: known[k].ack})
 		}
 		out.Members = append(out.Members, m)
--- a/internal/flow/segment.go
+++ b/internal/flow/segment.go
@@ -60,6 +60,9 @@
 // Route returns the route's endpoint.
 func (k Key) Route() Endpoint { return Endpoint(k[endpointSize:]) }
 
+// Compare orders keys by the caller's endpoint, then by the route's.
+func (k Key) Compare(other Key) int { return bytes.Compare(k[:], other[:]) }
+
 // Hash returns a hash of the key that is the same in every process.
 func (k Key) Hash() uint64 { return xxhash.Sum64(k[:]) }
 
--- a/internal/orphan/verifier.go
+++ b/internal/orphan/verifier.go
@@ -4,7 +4,6 @@
 package orphan
 
 import (
-	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -189,7 +188,7 @@
 // startBatches forms batches of as many waiting flows as fit into a tick, one at least.
 func (v *Verifier) startBatches(now time.Time, a Agents) {
 	maps.DeleteFunc(v.waiting, func(_ flow.Key, c candidate) bool { return now.Sub(c.addedAt) > candidateTTL })
-	keys := slices.SortedFunc(maps.Keys(v.waiting), compareKeys)
+	keys := slices.SortedFunc(maps.Keys(v.waiting), flow.Key.Compare)
 	for keys := range slices.Chunk(keys, v.batchSize) {
 		if len(v.queries) > 0 && len(v.queries)+len(a.All) > maxDatagrams {
 			break
@@ -234,7 +233,7 @@
 	return true
 }
 
-func (b *batch) keys() []flow.Key { return slices.SortedFunc(maps.Keys(b.flows), compareKeys) }
+func (b *batch) keys() []flow.Key { return slices.SortedFunc(maps.Keys(b.flows), flow.Key.Compare) }
 
 func (b *batch) orphans() []Orphan {
 	var out []Orphan
@@ -243,5 +242,3 @@
 	}
 	return out
 }
-
-func compareKeys(a, b flow.Key) int { return bytes.Compare(a[:], b[:]) }
--- a/internal/passthrough/router.go
+++ b/internal/passthrough/router.go
@@ -427,7 +427,7 @@
 // sortedKeys returns the keys in a fixed order, which makes the handling of flows
 // deterministic.
 func sortedKeys[V any](flows map[flow.Key]V) []flow.Key {
-	return slices.SortedFunc(maps.Keys(flows), func(x, y flow.Key) int { return bytes.Compare(x[:], y[:]) })
+	return slices.SortedFunc(maps.Keys(flows), flow.Key.Compare)
 }
 
 // sweep removes expired flows.
