--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -210,7 +210,7 @@
 		return err
 	}
 	time.Sleep(5 * time.Second)
-	for range 4 {
+	for range 6 {
 		var works sync.WaitGroup
 		works.Go(func() {
 			for _, m := range w.sides {
@@ -228,7 +228,7 @@
 			}
 		}
 		works.Wait()
-		time.Sleep(10 * time.Second)
+		time.Sleep(6 * time.Second)
 	}
 	close(stop)
 	all.Wait()
