--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -149,7 +149,7 @@
 	if last {
 		header = "Connection: close\r\n"
 	}
-	data := fmt.Appendf(nil, "%s /work HTTP/1.1\r\nHost: stand-in\r\nRequest-Id: %s\r\nWork-Ms: %d\r\n%sContent-Length: 0\r\n\r\n", method, id, workMs, header)
+	data := fmt.Appendf(nil, "%s /bell HTTP/1.1\r\nHost: stand-in\r\nRequest-Id: %s\r\nWork-Ms: %d\r\n%sContent-Length: 0\r\n\r\n", method, id, workMs, header)
 	f.c.w.sentRequest(id)
 	f.mu.Lock()
 	f.lastUseAt = time.Now()
