Refuse announcements that are not the upstream's own

Cause: the agent took any announcement with a later start for the next start of its upstream, without comparing service, address and zone with its settings; it then ended the flows of the start before and took the upstream's own announcements for outdated ones.

Evidence: in the agents' logs the announcement of i-other-1 has the outcome `changed`, 30 decisions `ended` follow within a millisecond and none before, then the upstream's own announcements are `late`.

Change: an agent knows its upstream's identity from its settings. The bounded clock skew keeps a start time that is too large from outdating all later announcements.

The log line names service, address and zone, and the new counter announcements_total shows the outcomes: neither could tell the two causes apart before.

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -174,7 +174,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var u Upstream
+			u := NewUpstream(start, UpstreamIdentity{Service: a.Service})
 			is.Equal(u.State(start, time.Minute), UpstreamAbsent)
 			is.Equal(u.Announce(start, a), AnnounceChanged)
 			is.Equal(u.Announce(start, tt.next), tt.want)
@@ -183,6 +183,39 @@
 	}
 }
 
+// An announcement that another process wrote took the place of the upstream, whose own
+// announcements were late from then on.
+func TestForeignAnnouncementLeavesTheUpstream(t *testing.T) {
+	identity := UpstreamIdentity{Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z"}
+	own := Announcement{ID: "i-1", StartMillis: 100, Sequence: 5, Service: "s", Address: identity.Address, Zone: "z", Slots: 3}
+	for name, edit := range map[string]func(*Announcement){
+		"another service":         func(a *Announcement) { a.Service = "t" },
+		"another address":         func(a *Announcement) { a.Address = netip.MustParseAddrPort("10.0.0.2:80") },
+		"another port":            func(a *Announcement) { a.Address = netip.MustParseAddrPort("10.0.0.1:81") },
+		"another zone":            func(a *Announcement) { a.Zone = "y" },
+		"start far in the future": func(a *Announcement) { a.StartMillis = start.Add(maxStartAhead).UnixMilli() + 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := NewUpstream(start, identity)
+			foreign := own
+			foreign.ID, foreign.StartMillis, foreign.Sequence = "i-2", 200, 1
+			edit(&foreign)
+			is.Equal(u.Announce(start, foreign), AnnounceForeign) // also before the first one of its own
+			is.Equal(u.State(start, time.Minute), UpstreamAbsent)
+			is.Equal(u.Announce(start, own), AnnounceChanged)
+			is.Equal(u.Announce(start, foreign), AnnounceForeign)
+			is.Equal(u.Last(), own)
+			next := own
+			next.Sequence++
+			is.Equal(u.Announce(start, next), AnnounceAccepted)
+			restarted := own
+			restarted.ID, restarted.StartMillis, restarted.Sequence = "i-3", start.Add(time.Second).UnixMilli(), 1
+			is.Equal(u.Announce(start, restarted), AnnounceChanged) // its clock is ahead of the agent's
+		})
+	}
+}
+
 func TestUpstreamIsAbsentAfterItsTimeout(t *testing.T) {
 	is := is.New(t)
 	var u Upstream
@@ -315,7 +348,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			u := NewUpstream(start)
+			u := NewUpstream(start, UpstreamIdentity{})
 			u.Announce(start, Announcement{ID: "i", StartMillis: start.Add(tt.startOffset).UnixMilli(), Sequence: tt.sequence})
 			is.Equal(u.SeenFromStart(true), tt.want)
 		})
@@ -327,7 +360,7 @@
 func TestUpstreamWithoutColdStartIsWarmAtAnEarlierTick(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_000, 0)
-	u := NewUpstream(now.Add(-time.Minute))
+	u := NewUpstream(now.Add(-time.Minute), UpstreamIdentity{Service: "s"})
 	u.Announce(now, Announcement{ID: "u", StartMillis: 1, Sequence: 1, Service: "s"})
 	tick := now.Add(-time.Millisecond)
 	is.Equal(u.State(tick, time.Second), UpstreamWarm)
@@ -386,7 +419,7 @@
 // its end: the upstream does not come back by it. A new start does.
 func TestUpstreamThatEndedStaysEnded(t *testing.T) {
 	is := is.New(t)
-	u := NewUpstream(start)
+	u := NewUpstream(start, UpstreamIdentity{Service: "s"})
 	announce := func(a Announcement) AnnounceResult { return u.Announce(start, a) }
 	alive := Announcement{ID: "i-1", StartMillis: 100, Sequence: 5, Service: "s", Slots: 5}
 	is.Equal(announce(alive), AnnounceChanged)
@@ -426,7 +459,7 @@
 func TestFormerProcessMayHaveForwardedFlows(t *testing.T) {
 	is := is.New(t)
 	for sequence, want := range map[int64]bool{1: true, 2: false, 3: false} {
-		u := NewUpstream(start)
+		u := NewUpstream(start, UpstreamIdentity{})
 		u.Announce(start, Announcement{ID: "i", StartMillis: start.Add(-startSpread / 2).UnixMilli(), Sequence: sequence})
 		is.Equal(u.SeenFromStart(false), want)
 		is.True(u.SeenFromStart(true))
--- a/internal/flow/upstream.go
+++ b/internal/flow/upstream.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 	StartMillis   int64 // start of the upstream's process, Unix milliseconds
 	Sequence      int64 // increases with each announcement since that start
 	Service       string
+	Address       netip.AddrPort
 	Zone          string
 	Slots         int
 	Leaving       bool
@@ -17,8 +19,21 @@
 	ColdRemaining time.Duration // remaining time in cold start
 }
 
+// UpstreamIdentity is what an agent's settings say of its upstream, whatever its start.
+type UpstreamIdentity struct {
+	Service string
+	Address netip.AddrPort
+	Zone    string
+}
+
+// identity returns the identity that the announcement claims.
+func (a *Announcement) identity() UpstreamIdentity {
+	return UpstreamIdentity{Service: a.Service, Address: a.Address, Zone: a.Zone}
+}
+
 // Upstream is the state of an agent's upstream according to its announcements.
 type Upstream struct {
+	identity  UpstreamIdentity
 	last      Announcement
 	known     bool
 	fromStart bool // this process received its first announcement
@@ -36,11 +51,19 @@
 const (
 	AnnounceAccepted AnnounceResult = "taken"
 	AnnounceChanged  AnnounceResult = "changed"
-	AnnounceStale    AnnounceResult = "late" // ignored: a later announcement or a later start is known
+	AnnounceStale    AnnounceResult = "late"    // ignored: a later announcement or a later start is known
+	AnnounceForeign  AnnounceResult = "foreign" // ignored: it is not the upstream's own
 )
 
-// Announce applies an announcement unless a later one is known.
+// maxStartAhead is how far in the future an upstream may have started by the agent's
+// clock. Clocks differ by seconds; a later start would outdate all of the upstream's own.
+const maxStartAhead = time.Hour
+
+// Announce applies an announcement unless a later one is known or another process wrote it.
 func (u *Upstream) Announce(now time.Time, a Announcement) AnnounceResult {
+	if !a.Ended && (a.identity() != u.identity || a.StartMillis > now.Add(maxStartAhead).UnixMilli()) {
+		return AnnounceForeign
+	}
 	if u.isStale(a) {
 		return AnnounceStale
 	}
@@ -75,7 +98,9 @@
 
 // NewUpstream returns an upstream without announcements for an agent whose
 // process started at agentStarted.
-func NewUpstream(agentStarted time.Time) Upstream { return Upstream{agentStarted: agentStarted} }
+func NewUpstream(agentStarted time.Time, identity UpstreamIdentity) Upstream {
+	return Upstream{agentStarted: agentStarted, identity: identity}
+}
 
 // startedTogether reports whether an announcement is the first one here of an upstream
 // that started together with this process.
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -49,7 +49,7 @@
 	}
 	a.tracker = NewTracker(TrackerOptions{
 		Self:            flow.EndpointOf(s.Data),
-		Service:         s.Service,
+		Upstream:        flow.UpstreamIdentity{Service: s.Service, Address: s.Upstream, Zone: s.Zone},
 		Started:         time.Now(),
 		MaxAge:          s.FlowMax(),
 		UpstreamTimeout: missedAnnouncements * time.Duration(s.AnnounceMillis) * time.Millisecond,
@@ -167,21 +167,23 @@
 	return a.tracker.Busy()
 }
 
-// Announce applies an announcement of the upstream. It is in effect when the
-// method returns.
-func (a *Agent) Announce(n flow.Announcement) {
+// Announce applies an announcement of the upstream and returns its effect, which it has
+// when the method returns.
+func (a *Agent) Announce(n flow.Announcement) flow.AnnounceResult {
 	now := time.Now()
 	a.mu.Lock()
 	outcome := a.tracker.Announce(now, n)
 	state := a.tracker.State(now)
 	a.mu.Unlock()
+	a.counters.announcements.WithLabelValues(string(outcome)).Inc()
 	if outcome != flow.AnnounceAccepted {
 		a.deps.Log.Info(
-			"announcement", "upstream", n.ID, "born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
+			"announcement", "upstream", n.ID, "service", n.Service, "address", n.Address.String(), "zone", n.Zone, "born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
 			"gone", n.Ended, "cold_ms", n.ColdRemaining.Milliseconds(), "outcome", string(outcome), "state", string(state),
 		)
 	}
 	a.publishUpstream(now)
+	return outcome
 }
 
 // publishUpstream updates the agent's membership record if the upstream's state
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -25,6 +25,7 @@
 
 	upstreamChecks *prometheus.CounterVec
 	checkpoints    *prometheus.CounterVec
+	announcements  *prometheus.CounterVec
 }
 
 // latencyBuckets range from the latency of a hop inside a zone to the longest
@@ -44,10 +45,11 @@
 			Help: "Pauses of a second or more in which the process did not run.",
 		}),
 		checkpoints:    telemetry.CounterVec(subsystem, "checkpoints_total", "Reads and writes of the checkpoint of flows, by outcome.", "outcome"),
+		announcements:  telemetry.CounterVec(subsystem, "announcements_total", "Announcements at the agent's address, by effect.", "outcome"),
 		upstreamChecks: telemetry.CounterVec(subsystem, "upstream_checks_total", "Checks whether an upstream is running, by result.", "result"),
 	}
 	if r != nil {
-		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.upstreamChecks, c.hedges, c.checkpoints)
+		r.MustRegister(c.decisions, c.dropped, c.placement, c.answers, c.pauses, c.upstreamChecks, c.hedges, c.checkpoints, c.announcements)
 	}
 	return c
 }
--- a/internal/passthrough/probe_message_test.go
+++ b/internal/passthrough/probe_message_test.go
@@ -60,7 +60,7 @@
 			is := is.New(t)
 			out := &recordingOutbox{}
 			tracker := NewTracker(TrackerOptions{
-				Self: self, Service: "alpha", Started: simStart, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
+				Self: self, Upstream: flow.UpstreamIdentity{Service: "alpha"}, Started: simStart, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
 				Codec: codec, Out: out, Observe: func(Decision) {}, ObserveAnswer: func(time.Duration) {},
 			})
 			m := Message{
--- a/internal/passthrough/simulation_test.go
+++ b/internal/passthrough/simulation_test.go
@@ -159,7 +159,7 @@
 
 func (a *simAgent) start() {
 	a.tracker = NewTracker(TrackerOptions{
-		Self: a.addr, Service: a.service, Started: a.sim.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
+		Self: a.addr, Upstream: flow.UpstreamIdentity{Service: a.service, Zone: a.zone}, Started: a.sim.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout,
 		Codec: codec, Out: a, Observe: func(d Decision) { a.sim.observeAgent(a, d) }, ObserveAnswer: func(time.Duration) {}, ScarceSlots: a.sim.scarceSlots,
 	})
 	a.tracker.Configure(flow.Limits{}, a.sim.fleet.FlowIdle, a.sim.fleet.ZonesOut[a.zone])
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -63,7 +63,7 @@
 // TrackerOptions are the options of a Tracker.
 type TrackerOptions struct {
 	Self            flow.Endpoint // data address of the agent
-	Service         string
+	Upstream        flow.UpstreamIdentity
 	Started         time.Time     // start of the agent's process
 	MaxAge          time.Duration // maximum age of a flow
 	UpstreamTimeout time.Duration // time without announcements after which the upstream is absent; if it sends no packets either, it is treated as ended
@@ -128,11 +128,11 @@
 func NewTracker(o TrackerOptions) *Tracker {
 	return &Tracker{
 		TrackerOptions: o,
-		serviceTag:     config.ServiceHash(o.Service),
+		serviceTag:     config.ServiceHash(o.Upstream.Service),
 		flows:          map[flow.Key]*trackedFlow{},
 		ending:         endingFlows{},
 		returned:       map[flow.Key]time.Time{},
-		upstream:       flow.NewUpstream(o.Started),
+		upstream:       flow.NewUpstream(o.Started, o.Upstream),
 		idleTimeout:    o.MaxAge,
 		subscribers:    map[flow.Endpoint]*subscriber{},
 	}
@@ -181,6 +181,9 @@
 	before, lastAnnounced := t.upstream.Last().StartMillis, t.upstream.LastAnnounced()
 	outcome := t.upstream.Announce(now, n)
 	last := t.upstream.Last()
+	if outcome == flow.AnnounceForeign {
+		return outcome
+	}
 	if outcome != flow.AnnounceStale {
 		t.markAlive(now)
 	}
@@ -398,7 +401,7 @@
 func (t *Tracker) admissionRequest(now time.Time, meta flow.Metadata) flow.AdmissionRequest {
 	return flow.AdmissionRequest{
 		State:          t.State(now),
-		ServiceMatches: meta.Service == t.serviceTag && t.upstream.Last().Service == t.Service,
+		ServiceMatches: meta.Service == t.serviceTag,
 		ZoneOut:        t.zoneOut,
 		Busy:           t.busyRequests,
 		Slots:          t.upstream.Last().Slots,
--- a/internal/passthrough/tracker_waiting_test.go
+++ b/internal/passthrough/tracker_waiting_test.go
@@ -40,7 +40,7 @@
 func newRoomBench(scarceSlots, slots int) *roomBench {
 	b := &roomBench{now: simStart, slots: slots, start: 1, refused: map[flow.Key]flow.Refusal{}, refusedTo: map[flow.Key]flow.Endpoint{}, sent: map[flow.Key]uint32{}}
 	b.tracker = NewTracker(TrackerOptions{
-		Service: roomService, Started: b.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout, ScarceSlots: scarceSlots,
+		Upstream: flow.UpstreamIdentity{Service: roomService}, Started: b.now, MaxAge: simFlowMax, UpstreamTimeout: simUpstreamTimeout, ScarceSlots: scarceSlots,
 		Codec: codec, Out: b, Observe: func(d Decision) { b.decisions = append(b.decisions, d) }, ObserveAnswer: func(time.Duration) {},
 	})
 	b.announce(flow.Announcement{})
