Read each object of the store by itself

Operators of a similar system saw machines that stopped following a list after another writer had left one odd entry in it: deeply nested, with a number too large, or with a port out of range. It can happen here: the fleet follows no further change of the configuration or of the zones out of service, and a fleet that starts has no configuration, for as long as the entry lies in the store.

Cause: a response of the store was decoded as one document, so one item that can't be decoded failed the whole list, or the watch, as "store unavailable". A configuration that can't be read failed the list of the evacuations with it, and a roster whose value is not a string the list of all rosters.

Responses that are cut still fail as a whole.

What is written to the store and sent to peers is unchanged.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -216,6 +216,7 @@
 	for _, p := range n.ConfigProblems() {
 		s.ConfigProblems = append(s.ConfigProblems, p.ID.Kind+" "+p.ID.Name+": "+p.Err.Error())
 	}
+	s.ConfigProblems = append(s.ConfigProblems, n.unreadable.texts()...)
 	if fleet.Keys != nil {
 		s.SigningKey = fleet.Keys.SigningGeneration()
 	}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -303,6 +303,7 @@
 	list, err := n.opts.Store.List(ctx, n.opts.StoreReads.Kinds...)
 	n.recordStoreResult("config", err)
 	if err == nil {
+		n.recordUnreadable(n.opts.StoreReads.Kinds, list.Problems)
 		n.merge(nil, list.Objects)
 		n.markVerified(at, list.Revision)
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -117,6 +117,7 @@
 
 	config         atomic.Pointer[config.Fleet]
 	problems       atomic.Pointer[[]config.Problem]
+	unreadable     unreadableObjects
 	members        atomic.Pointer[[]membership.Record]
 	departed       atomic.Pointer[[]membership.Record]
 	self           atomic.Pointer[membership.Record]
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -163,8 +163,9 @@
 	if err != nil {
 		return 0, err
 	}
+	n.recordUnreadable(n.opts.StoreReads.Kinds, list.Problems)
 	n.enqueue(func(now time.Time) {
-		repeatAt := n.core.MergeList(now, at, list.Objects, list.Revision)
+		repeatAt := n.core.MergeList(now, at, list.Objects, list.Revision, list.Unknown...)
 		n.listAgainAt.Store(n.sinceStart(repeatAt))
 	})
 	return list.Revision, nil
@@ -250,6 +251,9 @@
 	defer cancel()
 	list, err := n.opts.Store.List(ctx, config.KindRoster)
 	n.recordStoreResult("roster", err)
+	if err == nil {
+		n.recordUnreadable([]string{config.KindRoster}, list.Problems)
+	}
 	return list, err
 }
 
--- a/internal/membership/era_test.go
+++ b/internal/membership/era_test.go
@@ -148,3 +148,18 @@
 		c.Merge(now.Add(time.Second), nil, []config.Object{zoneOutObject("pier", era, 90, false)})
 	}
 }
+
+// An object that a list contains in a form that can't be read has not been deleted.
+func TestUnknownObjectsStayInForce(t *testing.T) {
+	is := is.New(t)
+	c := testCore(RoleEntry, 1)
+	now := testStart
+	listed := []config.Object{zoneOutObject("pier", 1, 90, false), zoneOutObject("quay", 1, 91, false)}
+	c.MergeList(now, now, listed, config.JoinRevision(1, 95))
+	c.MergeList(now, now, nil, config.JoinRevision(1, 96), config.ID{Kind: config.KindZoneOut, Name: "pier"})
+	is.Equal(c.zonesOut(), map[string]bool{"pier": true})
+	c.MergeList(now, now, nil, config.JoinRevision(1, 97), config.ID{Kind: config.KindZoneOut})
+	is.Equal(c.zonesOut(), map[string]bool{"pier": true})
+	c.MergeList(now, now, nil, config.JoinRevision(1, 98), config.ID{Kind: config.KindPool})
+	is.Equal(len(c.zonesOut()), 0)
+}
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -14,6 +14,8 @@
 	retries *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
 	eras    *prometheus.CounterVec
+
+	unreadable *prometheus.CounterVec
 }
 
 // callBuckets are in seconds and range from a fast response to the longest watch.
@@ -25,12 +27,13 @@
 		retries: storeCounter("retries_total", "Repeated calls to the platform's store by method and reason.", "reason"),
 	}
 	m.eras = telemetry.CounterVec(subsystem, "eras_total", "Eras in the store's responses that rose or could not be read.", "result")
+	m.unreadable = telemetry.CounterVec(subsystem, "unreadable_objects_total", "Objects in lists of the store that could not be read, by kind.", "kind")
 	m.seconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: telemetry.Namespace, Subsystem: subsystem, Name: "call_seconds",
 		Help: "Duration of calls to the platform's store by method, waiting included.", Buckets: callBuckets,
 	}, []string{"method"})
 	if r != nil {
-		r.MustRegister(m.calls, m.retries, m.seconds, m.eras)
+		r.MustRegister(m.calls, m.retries, m.seconds, m.eras, m.unreadable)
 	}
 	return m
 }
--- a/internal/platform/native.go
+++ b/internal/platform/native.go
@@ -1,11 +1,14 @@
 package platform
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"crocusnotch/internal/config"
 )
 
@@ -65,17 +68,49 @@
 	if d.Conflict(res) {
 		res.Status = http.StatusOK
 	}
-	return Decode[config.Object](res)
+	var o config.Object
+	if res.Status != http.StatusOK {
+		return o, unavailable(errors.Errorf("status %d", res.Status))
+	}
+	if err := json.Unmarshal(res.Body, &o); err != nil {
+		return config.Object{}, unavailable(errors.Wrap(err, "decode object"))
+	}
+	return o, nil
 }
 
 // Page implements Protocol.
 func (nativeProtocol) Page(_ string, res Response) (page Snapshot, next string, err error) {
-	page, err = Decode[Snapshot](res)
+	page, err = decodeSnapshot(res)
 	return page, "", err
 }
 
+// decodeSnapshot decodes a list of objects, each of them by itself.
+func decodeSnapshot(res Response) (Snapshot, error) {
+	body, err := DecodeBody(res)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	var out Snapshot
+	if out.Revision, err = body.Revision("revision"); err != nil {
+		return Snapshot{}, err
+	}
+	list, err := body.List("objects")
+	if err != nil {
+		return Snapshot{}, err
+	}
+	for _, raw := range list {
+		var o config.Object
+		if err := json.Unmarshal(raw, &o); err != nil {
+			out.Refuse(o.ID(), err)
+			continue
+		}
+		out.Objects = append(out.Objects, o)
+	}
+	return out, nil
+}
+
 // Changes implements Protocol.
-func (nativeProtocol) Changes(_ uint64, res Response) (Snapshot, error) { return Decode[Snapshot](res) }
+func (nativeProtocol) Changes(_ uint64, res Response) (Snapshot, error) { return decodeSnapshot(res) }
 
 // EraHeader implements Protocol.
 func (nativeProtocol) EraHeader() string { return headerEra }
--- a/internal/platform/queries.go
+++ b/internal/platform/queries.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"crocusnotch/internal/config"
+	"crocusnotch/internal/rawjson"
 )
 
 // Snapshot is a set of objects at one revision of the whole store.
@@ -18,6 +19,27 @@
 	// Incomplete reports that the store has changes that are not in Objects, so the
 	// caller must list the kinds again.
 	Incomplete bool `json:"-"`
+	// Problems are the objects that can't be read, as other processes may leave them. The
+	// rest of the snapshot holds without them.
+	Problems []config.Problem `json:"-"`
+	// Unknown are objects that may exist although Objects lacks them, because of Problems.
+	// One without a name stands for all objects of its kind.
+	Unknown []config.ID `json:"-"`
+}
+
+// Refuse adds an object that can't be read.
+func (s *Snapshot) Refuse(id config.ID, err error) {
+	s.Problems = append(s.Problems, config.Problem{ID: id, Revision: s.Revision, Err: err})
+	if id.Name != "" {
+		s.Unknown = append(s.Unknown, id)
+	}
+}
+
+// add adds the content of another snapshot.
+func (s *Snapshot) add(part *Snapshot) {
+	s.Objects = append(s.Objects, part.Objects...)
+	s.Problems = append(s.Problems, part.Problems...)
+	s.Unknown = append(s.Unknown, part.Unknown...)
 }
 
 // Get returns one object. The error is ErrNotFound or wraps ErrUnavailable.
@@ -51,7 +73,7 @@
 		if i == 0 || part.Revision < out.Revision {
 			out.Revision = part.Revision
 		}
-		out.Objects = append(out.Objects, part.Objects...)
+		out.add(&part)
 		if config.EraOf(part.Revision) != config.EraOf(out.Revision) {
 			return Snapshot{}, unavailable(ErrRestored)
 		}
@@ -78,7 +100,8 @@
 		case config.EraOf(page.Revision) != config.EraOf(out.Revision):
 			return Snapshot{}, unavailable(ErrRestored)
 		}
-		out.Objects = append(out.Objects, page.Objects...)
+		out.add(&page)
+		c.metrics.unreadable.WithLabelValues(kind).Add(float64(len(page.Problems)))
 		after = next
 	}
 	return out, nil
@@ -123,15 +146,41 @@
 	}
 }
 
-// Decode decodes the JSON body of a response with status 200. Errors wrap
-// ErrUnavailable.
-func Decode[T any](res Response) (T, error) {
-	var v, zero T
+// Body is the body of a response, a JSON object, of which each member is decoded by itself:
+// one may contain objects of other processes, which can't be read.
+type Body map[string]json.RawMessage
+
+// DecodeBody returns the body of a response with status 200. Errors wrap ErrUnavailable.
+func DecodeBody(res Response) (Body, error) {
 	if res.Status != http.StatusOK {
-		return zero, unavailable(errors.Errorf("status %d", res.Status))
+		return nil, unavailable(errors.Errorf("status %d", res.Status))
+	}
+	members, err := rawjson.Members(res.Body)
+	if err != nil {
+		return nil, unavailable(errors.Wrap(err, "split response"))
 	}
-	if err := json.Unmarshal(res.Body, &v); err != nil {
-		return zero, unavailable(errors.Wrap(err, "decode response"))
+	return members, nil
+}
+
+// List returns the elements of a list. It is empty if the member is missing or null. Errors
+// wrap ErrUnavailable.
+func (b Body) List(name string) ([]json.RawMessage, error) {
+	list := b[name]
+	if list == nil || string(list) == "null" {
+		return nil, nil
+	}
+	elements, err := rawjson.Elements(list)
+	if err != nil {
+		return nil, unavailable(errors.Wrapf(err, "%s of the response", name))
+	}
+	return elements, nil
+}
+
+// Revision returns the revision of the store. Errors wrap ErrUnavailable.
+func (b Body) Revision(name string) (uint64, error) {
+	var revision uint64
+	if err := json.Unmarshal(b[name], &revision); err != nil {
+		return 0, unavailable(errors.Wrapf(err, "%s of the response", name))
 	}
-	return v, nil
+	return revision, nil
 }
