Give up a list of the store that does not progress

A list whose pages named a page again that had been read was read without end, at the rate of the client's limit: the process never followed the store again, and each call is paid for. It needs an object at the end of a page whose name in the metadata is not the one that it is stored under.

Evidence: found by TestForeignEntryAtTheEndOfAPage on the code before, which ran into its time limit; TestListThatDoesNotProgressFails did the same before.

Change: the client remembers the pages that a list has named, and returns the error for an unavailable store when one is named again. The caller tries again later, with a backoff.

--- a/internal/platform/queries.go
+++ b/internal/platform/queries.go
@@ -84,6 +84,7 @@
 // listKind reads all pages of one kind. The revision is that of the first page.
 func (c *Client) listKind(ctx context.Context, kind string) (Snapshot, error) {
 	var out Snapshot
+	seen := map[string]bool{} // next pages
 	for after, first := "", true; first || after != ""; first = false {
 		res, err := c.query(ctx, c.withCallTimeout(c.opts.Protocol.List(kind, after)))
 		if err != nil {
@@ -102,6 +103,10 @@
 		}
 		out.add(&page)
 		c.metrics.unreadable.WithLabelValues(kind).Add(float64(len(page.Problems)))
+		if seen[next] {
+			return Snapshot{}, unavailable(errors.Errorf("list of %s does not progress", kind))
+		}
+		seen[next] = true
 		after = next
 	}
 	return out, nil
