--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -44,10 +44,10 @@
 }
 
 func (c *Core) snapshotPage(page int) (records []Record, objects []config.Object, next int) {
-	first := page * BucketsPerPage
-	if page < 0 || first >= Buckets {
+	if page < 0 || page >= Buckets/BucketsPerPage {
 		return nil, nil, 0
 	}
+	first := page * BucketsPerPage
 	if page == 0 {
 		records = append(records, c.self)
 	}
