--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -25,6 +25,7 @@
 	maxControlConns      = 64
 	controlConnTimeout   = 10 * time.Second
 	maxSnapshotPageBytes = 16 << 20
+	maxSnapshotPages     = 1024
 )
 
 // serveControl accepts connections on the control address and serves jsonrpc2
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -26,6 +26,7 @@
 	agentJoinsBeforeStoreRead = 3                     // failed joins before an agent reads the configuration from the store
 	snapshotTimeout           = 3 * time.Second
 	storeCallTimeout          = 5 * time.Second
+	maxVerifiedAge            = 24 * time.Hour // longer ones make no difference
 )
 
 var errStopped = errors.New("fleet: the node has stopped")
@@ -238,6 +239,9 @@
 			n.joined.Store(true)
 			return unverified
 		}
+		if next <= params.Cursor || next > maxSnapshotPages {
+			return errors.Errorf("fleet: page %d of a snapshot follows page %d", next, params.Cursor)
+		}
 		params.Cursor = next
 	}
 }
@@ -260,7 +264,8 @@
 	case result.AgeMillis < 0 && n.opts.StoreReads.MaxAge > 0 && len(params.Objects) == 0:
 		return result.Next, errPeerNotVerified
 	case result.Next == 0 && result.AgeMillis >= 0:
-		n.markVerified(time.Now().Add(-time.Duration(result.AgeMillis)*time.Millisecond), result.Revision)
+		age := time.Duration(min(result.AgeMillis, maxVerifiedAge.Milliseconds())) * time.Millisecond
+		n.markVerified(time.Now().Add(-age), result.Revision)
 	}
 	return result.Next, nil
 }
