Refuse incarnations that nobody can refute

A member that others reported as dead in an incarnation of 2^64 - 1 could not refute that: its next incarnation overflowed to 0, so it got its start time instead, and all others took it for dead from then on. Reports are signed with the fleet's key, so it takes a damaged or faulty peer.

Cause: the incarnation of a record or a failure report was used as it came.

Evidence: TestReportsBeyondAllIncarnationsAreRefused failed before.

Change: records and reports with an incarnation above 2^62 are malformed. Incarnations are times in milliseconds, raised by one at a refutation, so no build sends such a one.

--- a/internal/membership/failure_report.go
+++ b/internal/membership/failure_report.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	for ; len(b) > 0; b = b[failureReportSize:] {
-		if !isFailure(State(b[failureReportState])) {
+		if r := parseFailureReport(b); !isFailure(r.State) || r.Incarnation > maxIncarnation {
 			return false
 		}
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -177,7 +177,11 @@
 func (r *Record) Valid() bool {
 	knownRole := r.Role == RoleEntry || r.Role == RoleAgent
 	knownState := r.State >= StateReady && r.State <= StateDead
-	return knownRole && knownState && isIPv4(r.Addr) && isIPv4(r.Control)
+	return knownRole && knownState && isIPv4(r.Addr) && isIPv4(r.Control) && r.Incarnation <= maxIncarnation
 }
 
+// maxIncarnation is far above all times in milliseconds. A member could not refute a report
+// about a higher one.
+const maxIncarnation = 1 << 62
+
 func isIPv4(a netip.AddrPort) bool { return a.Addr().Is4() && a.Port() != 0 }
--- a/internal/membership/message_test.go
+++ b/internal/membership/message_test.go
@@ -75,6 +75,30 @@
 	is.True(len(b) <= MaxDatagram)
 }
 
+// A report about the highest incarnation could not be refuted: the member was taken for
+// dead from then on, whatever it announced.
+func TestReportsBeyondAllIncarnationsAreRefused(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(t)
+	c := testCore(RoleEntry, 1)
+	dead := c.Self()
+	dead.State, dead.Incarnation = StateDead, 1<<64-1
+	from := fullMessage().From
+	for _, m := range []*Message{
+		{Kind: KindPush, From: from, Control: from, Records: []Record{dead}},
+		{Kind: KindPush, From: from, Control: from, FailureReports: appendFailureReport(nil, &dead)},
+	} {
+		b, err := Seal(ring, m)
+		is.NoErr(err)
+		_, err = Open(ring, b)
+		is.Equal(err, ErrMalformed)
+	}
+	c.Merge(testStart, []Record{dead}, nil) // from a snapshot
+	for _, change := range c.TakeOutput().Changes {
+		is.True(change.Cause != CauseRefuted) // with an incarnation that overflows
+	}
+}
+
 func FuzzOpen(f *testing.F) {
 	ring := testRing(f)
 	b, err := Seal(ring, fullMessage())
