Log no address for the end of an upstream

The end of an upstream names no address, and its log line said "invalid AddrPort". Cause: the address is logged since the identity of announcements is checked, also where there is none. The field is empty then.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -177,8 +177,12 @@
 	a.mu.Unlock()
 	a.counters.announcements.WithLabelValues(string(outcome)).Inc()
 	if outcome != flow.AnnounceAccepted {
+		address := "" // the end of an upstream has none
+		if n.Address.IsValid() {
+			address = n.Address.String()
+		}
 		a.deps.Log.Info(
-			"announcement", "upstream", n.ID, "service", n.Service, "address", n.Address.String(), "zone", n.Zone, "born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
+			"announcement", "upstream", n.ID, "service", n.Service, "address", address, "zone", n.Zone, "born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
 			"gone", n.Ended, "cold_ms", n.ColdRemaining.Milliseconds(), "outcome", string(outcome), "state", string(state),
 		)
 	}
