--- a/internal/membership/era.go
+++ b/internal/membership/era.go
@@ -71,10 +71,10 @@
 
 // MergeList merges all objects of the store as listed at the time and the revision. A
 // known object that is not listed was deleted, at the latest at that revision, unless it is
-// among the unknown ones, which the list may contain in a form that can't be read. An unknown
-// ID without a name stands for all objects of its kind. The
-// list must be repeated at the returned time if that is not zero: until then, objects
-// may be missing in it that a restored store has lost.
+// among the unknown ones, which the list may contain in a form that can't be read; one
+// without a name stands for all objects of its kind. The list must be repeated at the
+// returned time if that is not zero: until then, objects may be missing in it that a
+// restored store has lost.
 func (c *Core) MergeList(now, at time.Time, listed []config.Object, revision uint64, unknown ...config.ID) (repeatAt time.Time) {
 	c.observeEra(now, config.EraOf(revision))
 	repeat := func(at time.Time) {
@@ -91,7 +91,10 @@
 	}
 	known, _ := c.Objects()
 	for _, o := range known {
-		if found[o.ID()] || o.Deleted || o.Revision >= revision || slices.Contains(unknown, o.ID()) || slices.Contains(unknown, config.ID{Kind: o.Kind}) {
+		if found[o.ID()] || o.Deleted || o.Revision >= revision {
+			continue
+		}
+		if slices.Contains(unknown, o.ID()) || slices.Contains(unknown, config.ID{Kind: o.Kind}) {
 			continue
 		}
 		if until, awaited := c.awaitedRewrite(now, o.Revision); awaited {
