--- a/internal/fleet/unreadable.go
+++ b/internal/fleet/unreadable.go
@@ -55,8 +55,7 @@
 // recordUnreadable records which objects in a list of the store can't be read, and logs the
 // ones that were not known.
 func (n *Node) recordUnreadable(kinds []string, problems []config.Problem) {
-	changed := n.unreadable.set(kinds, problems)
-	for id, reason := range changed {
+	for id, reason := range n.unreadable.set(kinds, problems) {
 		n.opts.Log.Warn("object of the store not readable", "kind", id.Kind, "name", id.Name, "error", reason)
 	}
 }
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -182,7 +182,8 @@
 			address = n.Address.String()
 		}
 		a.deps.Log.Info(
-			"announcement", "upstream", n.ID, "service", n.Service, "address", address, "zone", n.Zone, "born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
+			"announcement", "upstream", n.ID, "service", n.Service, "address", address, "zone", n.Zone,
+			"born", n.StartMillis, "sequence", n.Sequence, "leaving", n.Leaving,
 			"gone", n.Ended, "cold_ms", n.ColdRemaining.Milliseconds(), "outcome", string(outcome), "state", string(state),
 		)
 	}
--- a/internal/passthrough/tracker.go
+++ b/internal/passthrough/tracker.go
@@ -180,10 +180,10 @@
 func (t *Tracker) Announce(now time.Time, n flow.Announcement) flow.AnnounceResult {
 	before, lastAnnounced := t.upstream.Last().StartMillis, t.upstream.LastAnnounced()
 	outcome := t.upstream.Announce(now, n)
-	last := t.upstream.Last()
 	if outcome == flow.AnnounceForeign {
 		return outcome
 	}
+	last := t.upstream.Last()
 	if outcome != flow.AnnounceStale {
 		t.markAlive(now)
 	}
