Fail a page whose mark for more can't be read

A page whose HasMore is not a truth value counted as the last one, so that what later pages list counted as deleted.

Cause: the member was compared with the text "true" instead of being decoded.

--- a/internal/platform/queries.go
+++ b/internal/platform/queries.go
@@ -182,10 +182,20 @@
 }
 
 // Revision returns the revision of the store. Errors wrap ErrUnavailable.
-func (b Body) Revision(name string) (uint64, error) {
-	var revision uint64
-	if err := json.Unmarshal(b[name], &revision); err != nil {
-		return 0, unavailable(errors.Wrapf(err, "%s of the response", name))
+func (b Body) Revision(name string) (uint64, error) { return member[uint64](b, name) }
+
+// Flag returns a truth value, false if the member is missing. Errors wrap ErrUnavailable.
+func (b Body) Flag(name string) (bool, error) {
+	if b[name] == nil {
+		return false, nil
+	}
+	return member[bool](b, name)
+}
+
+func member[T any](b Body, name string) (T, error) {
+	var v, zero T
+	if err := json.Unmarshal(b[name], &v); err != nil {
+		return zero, unavailable(errors.Wrapf(err, "%s of the response", name))
 	}
-	return revision, nil
+	return v, nil
 }
